Add the build, the core and runtime libraries and the design

Cause: the repository was empty; the modules need shared values, threads, settings and fixed interfaces before they can be built side by side. Change: CMake build with warnings as errors, format and lint settings, core (ids, reasons, outcomes, digests), runtime (bounded rings, supervisor, timers, events, counters, checked settings), public headers of the other modules, frame and log schemas, design page.

--- /dev/null
+++ b/src/runtime_settings_positions.cc
@@ -0,0 +1,140 @@
+#include "runtime_settings_p.h"
+
+namespace ring {
+namespace {
+
+// Walks over well-formed JSON with comments and notes where each key stands.
+class KeyScanner {
+ public:
+  explicit KeyScanner(const std::string& text) : text_(text) {}
+
+  KeyPositions Scan() {
+    SkipSpace();
+    ScanValue("");
+    return std::move(positions_);
+  }
+
+ private:
+  char Peek() const { return at_ < text_.size() ? text_[at_] : '\0'; }
+
+  void Advance() {
+    if (Peek() == '\n') {
+      ++line_;
+    }
+    ++at_;
+  }
+
+  void SkipSpace() {
+    while (at_ < text_.size()) {
+      if (text_.compare(at_, 2, "//") == 0) {
+        SkipUntil("\n");
+      } else if (text_.compare(at_, 2, "/*") == 0) {
+        SkipUntil("*/");
+      } else if (Peek() == ' ' || Peek() == '\t' || Peek() == '\r' ||
+                 Peek() == '\n') {
+        Advance();
+      } else {
+        return;
+      }
+    }
+  }
+
+  void SkipUntil(const std::string& end) {
+    while (at_ < text_.size() && text_.compare(at_, end.size(), end) != 0) {
+      Advance();
+    }
+    for (size_t i = 0; i < end.size() && at_ < text_.size(); ++i) {
+      Advance();
+    }
+  }
+
+  std::string ScanString() {
+    std::string value;
+    Advance();  // Opening quote.
+    while (at_ < text_.size() && Peek() != '"') {
+      if (Peek() == '\\') {
+        value.push_back(Peek());
+        Advance();
+      }
+      value.push_back(Peek());
+      Advance();
+    }
+    Advance();  // Closing quote.
+    return value;
+  }
+
+  void ScanValue(const std::string& path) {
+    switch (Peek()) {
+      case '{':
+        ScanObject(path);
+        return;
+      case '[':
+        ScanList(path);
+        return;
+      case '"':
+        ScanString();
+        return;
+      default:
+        SkipScalar();
+    }
+  }
+
+  void SkipScalar() {
+    while (at_ < text_.size() && Peek() != ',' && Peek() != '}' &&
+           Peek() != ']' && Peek() != '/' && Peek() > ' ') {
+      Advance();
+    }
+  }
+
+  void ScanObject(const std::string& path) {
+    Advance();
+    SkipSpace();
+    while (at_ < text_.size() && Peek() != '}') {
+      const int line = line_;
+      const std::string key = ScanString();
+      const std::string child = path.empty() ? key : path + "." + key;
+      if (!positions_.line_of_path.emplace(child, line).second) {
+        positions_.duplicates.push_back({child, line});
+      }
+      SkipSpace();
+      Advance();  // Colon.
+      SkipSpace();
+      ScanValue(child);
+      SkipSeparator();
+    }
+    Advance();
+  }
+
+  void ScanList(const std::string& path) {
+    Advance();
+    SkipSpace();
+    for (int i = 0; at_ < text_.size() && Peek() != ']'; ++i) {
+      const std::string child = path + "[" + std::to_string(i) + "]";
+      positions_.line_of_path.emplace(child, line_);
+      ScanValue(child);
+      SkipSeparator();
+    }
+    Advance();
+  }
+
+  void SkipSeparator() {
+    SkipSpace();
+    if (Peek() == ',') {
+      Advance();
+      SkipSpace();
+    }
+  }
+
+  const std::string& text_;
+  size_t at_ = 0;
+  int line_ = 1;
+  KeyPositions positions_;
+};
+
+}  // namespace
+
+KeyPositions LocateKeys(const std::string& text) {
+  return KeyScanner(text).Scan();
+}
+
+}  // namespace ring
--- /dev/null
+++ b/tests/runtime_threads_test.cc
@@ -0,0 +1,72 @@
+#include <gtest/gtest.h>
+
+#include "fakes/fake_clock.h"
+#include "persimmonring/runtime.h"
+
+namespace ring {
+namespace {
+
+// Guards against a ring that grows without bound or loses a refused item.
+TEST(BoundedRingPush, FullOrClosedRing_RefusesAndKeepsItem) {
+  BoundedRing<std::unique_ptr<int>> items(1);
+  EXPECT_TRUE(items.TryPush(std::make_unique<int>(1)));
+  auto second = std::make_unique<int>(2);
+  EXPECT_FALSE(items.TryPush(std::move(second)));
+  ASSERT_NE(second, nullptr);
+  items.Close();
+  EXPECT_EQ(**items.Pop(0), 1);
+  EXPECT_FALSE(items.TryPush(std::move(second)));
+  EXPECT_FALSE(items.Pop(0).has_value());
+}
+
+// Guards against a failed duty that stays dead.
+TEST(SupervisorRestart, DutyFailsTwice_IsRunAgainUntilStopped) {
+  std::atomic<int> runs{0};
+  Supervisor supervisor({.name = "test", .first_restart_delay_ms = 1});
+  supervisor.AddDuty("flaky", [&](const StopToken& stop) -> Status {
+    if (runs.fetch_add(1) < 2) {
+      return Refusal{.reason = Reason::kInternal};
+    }
+    stop.WaitFor(10'000);
+    return Done{};
+  });
+  supervisor.Start();
+  while (runs.load() < 3) {
+    std::this_thread::yield();
+  }
+  supervisor.Stop();
+  EXPECT_EQ(supervisor.restarts(), 2u);
+}
+
+// Guards against a burst of calls after the process was stopped for a while.
+TEST(TimerServiceAdvance, LongPause_CallsPeriodicSubscriberOnce) {
+  FakeClock clock;
+  TimerService timers(clock);
+  int periodic = 0;
+  int single = 0;
+  timers.Every(10, [&] { ++periodic; });
+  timers.After(10, [&] { ++single; });
+  clock.AdvanceMs(1'000);
+  timers.Advance();
+  timers.Advance();
+  EXPECT_EQ(periodic, 1);
+  EXPECT_EQ(single, 1);
+}
+
+// Guards against log lines that a value with spaces or control bytes breaks.
+TEST(EventLine, ValueWithControlBytes_IsQuotedAndEscaped) {
+  Event event(LogLevel::kDebug, "sample");
+  event.Add("a", "x y").Add("b", "q\"\n").Add("c", 3).Add("d", "");
+  EXPECT_EQ(event.line(),
+            "event=sample level=debug a=\"x y\" b=\"q\\\"\\x0a\" c=3 d=\"\"");
+}
+
+TEST(MetricsCount, RefusalReason_IncrementsItsCounter) {
+  const Labels labels = {{"reason", "queue_full"}};
+  const double before = metrics::Value("ring_refusals_total", labels);
+  metrics::CountRefusal(Reason::kQueueFull);
+  EXPECT_EQ(metrics::Value("ring_refusals_total", labels), before + 1);
+}
+
+}  // namespace
+}  // namespace ring
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs, builds, checks format and lint, runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/build.sh
+tools/lint.sh
+ctest --test-dir build --output-on-failure -j "$(( $(nproc) / 2 + 1 ))"
