--- a/include/persimmonring/control.h
+++ b/include/persimmonring/control.h
@@ -103,17 +103,14 @@
 
 /// Encoded commands and queries of the control state machine.
 namespace control_codec {
-std::string Encode(const ReleaseNote& note, int64_t now_ms);
+std::string Encode(const ReleaseNote& note);
 std::string EncodeLease(const std::string& domain,
                         const std::string& entry,
-                        int64_t duration_ms,
-                        int64_t now_ms);
+                        int64_t duration_ms);
 std::string EncodeQuarantine(const std::string& digest,
-                             const std::string& reason,
-                             int64_t now_ms);
+                             const std::string& reason);
 std::string EncodeDomainLost(const std::string& domain,
-                             const std::string& operator_id,
-                             int64_t now_ms);
+                             const std::string& operator_id);
 std::string EncodeView(uint64_t have_version, uint64_t have_quarantine);
 
 Outcome<NoteResult> DecodeNote(std::string_view result);
--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -48,6 +48,7 @@
 struct LogEntry {
   uint64_t term = 0;
   uint64_t index = 0;
+  int64_t time_ms = 0;  ///< Wall clock of the leader; never goes back.
   EntryKind kind = EntryKind::kEmpty;
   std::string data;
 
@@ -94,8 +95,11 @@
  public:
   virtual ~StateMachineI() = default;
   /// Applies a committed command.
+  /// @param time_ms wall milliseconds stamped by the leader; never goes back
   /// @returns the encoded result for the proposer
-  virtual std::string Apply(uint64_t index, std::string_view command) = 0;
+  virtual std::string Apply(uint64_t index,
+                            int64_t time_ms,
+                            std::string_view command) = 0;
   /// Answers a read at the applied state.
   virtual std::string Query(std::string_view query) const = 0;
   virtual std::string Save() const = 0;
--- a/include/persimmonring/program.h
+++ b/include/persimmonring/program.h
@@ -1,8 +1,9 @@
 #pragma once
 
 /// Programs: commands, state and the deterministic state machine of a program
-/// group. All times in commands are wall milliseconds stamped by the leader of
-/// the group; token counts are the ring's own count (see CountTokens).
+/// group. The time of a command is the wall clock that the leader of the group
+/// stamped on its log entry; token counts are the ring's own count (see
+/// CountTokens).
 
 #include <compare>
 #include <cstdint>
@@ -206,23 +207,19 @@
     const std::string& domain,
     const ProgramLimits& limits);
 
-/// Encoded commands and queries of the program state machine. `now_ms` is the
-/// leader's wall clock.
+/// Encoded commands and queries of the program state machine.
 namespace program_codec {
-std::string Encode(const OpenProgram& command, int64_t now_ms);
-std::string Encode(const BeginCall& command, int64_t now_ms);
-std::string Encode(const RetryCall& command, int64_t now_ms);
-std::string Encode(const AbortCall& command, int64_t now_ms);
-std::string Encode(const FinishCall& command, int64_t now_ms);
-std::string EncodeAcquire(const ProgramId& id,
-                          const std::string& entry,
-                          int64_t now_ms);
-std::string EncodeEnd(const ProgramId& id, Reason reason, int64_t now_ms);
+std::string Encode(const OpenProgram& command);
+std::string Encode(const BeginCall& command);
+std::string Encode(const RetryCall& command);
+std::string Encode(const AbortCall& command);
+std::string Encode(const FinishCall& command);
+std::string EncodeAcquire(const ProgramId& id, const std::string& entry);
+std::string EncodeEnd(const ProgramId& id, Reason reason);
 std::string EncodeConfirmRelease(const ProgramId& id,
-                                 const UpstreamId& upstream,
-                                 int64_t now_ms);
+                                 const UpstreamId& upstream);
 /// Ends programs past their deadline or idle limit; drops old tombstones.
-std::string EncodeExpire(int64_t now_ms);
+std::string EncodeExpire();
 std::string EncodeRead(const ProgramId& id);
 std::string EncodeLocate(const ProgramId& id);
 std::string EncodePendingReleases(size_t limit);
