--- /dev/null
+++ b/src/control_state_p.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/// The state machine of the control group.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "control.generated.h"
+#include "persimmonring/control.h"
+
+namespace ring {
+
+class ControlMachine final : public StateMachineI {
+ public:
+  std::string Apply(uint64_t index,
+                    int64_t time_ms,
+                    std::string_view command) override;
+  std::string Query(std::string_view query) const override;
+  std::string Save() const override;
+  Status Load(std::string_view snapshot) override;
+
+ private:
+  struct Lease {
+    std::string entry;
+    uint64_t fence = 0;
+    int64_t expires_wall_ms = 0;
+  };
+  struct Quarantined {
+    std::string digest;
+    std::string reason;
+  };
+
+  Outcome<NoteResult> ApplyNote(const fb::ControlNote& command);
+  Outcome<NoteResult> AnswerOldNote(const ReleaseNote& note,
+                                    const std::string& digest) const;
+  Outcome<ReconcilerLease> GrantLease(const fb::ControlLease& command);
+  Status AddQuarantine(const fb::ControlQuarantine& command);
+  Status LoseDomain(const fb::ControlDomainLost& command);
+  std::string EncodeCurrentView() const;
+  bool ReadSnapshot(const fb::ControlSnapshot& snapshot);
+  uint64_t version() const;
+  std::string DigestOfNote(uint64_t number) const;
+
+  int64_t now_ms_ = 0;  ///< Time of the command being applied.
+  /// 32 raw bytes for each accepted note, in order: a resent note of any age
+  /// gets its first answer again. 5,100 notes a day take 163 KB a day.
+  std::string digests_;
+  std::map<std::string, std::string> items_;
+  std::map<std::string, Lease> leases_;
+  uint64_t next_fence_ = 1;
+  uint64_t quarantine_version_ = 0;
+  std::deque<Quarantined> quarantined_;
+  std::set<std::string> lost_domains_;
+};
+
+}  // namespace ring
--- /dev/null
+++ b/src/program_apply.cc
@@ -0,0 +1,195 @@
+#include "core_flatbuffer_p.h"
+#include "program_machine_p.h"
+
+namespace ring {
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+constexpr uint32_t kSnapshotMagic = 0x47525050;  // "PPRG"
+constexpr uint32_t kSnapshotVersion = 1;
+
+std::string EncodeRefusal(const Refusal& refusal) {
+  FlatBufferBuilder builder;
+  const auto reason = WriteReason(builder, refusal.reason);
+  const auto message = TextIn(builder, refusal.message);
+  builder.Finish(fb::CreateProgramResult(builder, reason, message));
+  return BytesOf(builder);
+}
+
+std::string EncodeProgram(const StoredProgram& program) {
+  FlatBufferBuilder builder;
+  const auto record = WriteProgram(builder, program, /*internals=*/false);
+  builder.Finish(fb::CreateProgramResult(builder, 0, 0, record));
+  return BytesOf(builder);
+}
+
+std::string EncodeOutcome(const Outcome<const StoredProgram*>& outcome) {
+  return outcome ? EncodeProgram(**outcome) : EncodeRefusal(outcome.refusal());
+}
+
+std::string EncodeOutcome(const Status& status) {
+  return EncodeRefusal(status.refusal());
+}
+
+std::string EncodeOwnership(const ProgramState& state) {
+  FlatBufferBuilder builder;
+  const auto owner = TextIn(builder, state.owner);
+  const auto ownership =
+      fb::CreateProgramOwnership(builder, owner, state.epoch, state.ended);
+  builder.Finish(fb::CreateProgramResult(builder, 0, 0, 0, ownership));
+  return BytesOf(builder);
+}
+
+}  // namespace
+
+std::string ProgramMachine::Apply(uint64_t /*index*/,
+                                  int64_t time_ms,
+                                  std::string_view command) {
+  now_ms_ = time_ms;
+  const FlatView<fb::ProgramCommand> view(command);
+  if (!view || view->action() == nullptr) {
+    return EncodeRefusal(Refuse(Reason::kBadRequest, "damaged command"));
+  }
+  switch (view->action_type()) {
+    case fb::ProgramAction::ProgramOpen:
+      return EncodeOutcome(Open(*view->action_as_ProgramOpen()));
+    case fb::ProgramAction::ProgramAcquire:
+      return EncodeOutcome(Acquire(*view->action_as_ProgramAcquire()));
+    case fb::ProgramAction::ProgramBegin:
+      return EncodeOutcome(Begin(*view->action_as_ProgramBegin()));
+    case fb::ProgramAction::ProgramRetry:
+      return EncodeOutcome(Retry(*view->action_as_ProgramRetry()));
+    case fb::ProgramAction::ProgramAbort:
+      return EncodeOutcome(Abort(*view->action_as_ProgramAbort()));
+    case fb::ProgramAction::ProgramFinish:
+      return EncodeOutcome(Finish(*view->action_as_ProgramFinish()));
+    case fb::ProgramAction::ProgramEnd:
+      return EncodeOutcome(End(*view->action_as_ProgramEnd()));
+    case fb::ProgramAction::ProgramConfirmRelease:
+      return EncodeOutcome(
+          ConfirmRelease(*view->action_as_ProgramConfirmRelease()));
+    case fb::ProgramAction::ProgramExpire:
+      Expire();
+      return EncodeOutcome(Status(Done{}));
+    case fb::ProgramAction::NONE:
+      break;
+  }
+  return EncodeRefusal(Refuse(Reason::kBadRequest, "unknown command"));
+}
+
+std::string ProgramMachine::Query(std::string_view query) const {
+  const FlatView<fb::ProgramQuery> view(query);
+  if (!view) {
+    return EncodeRefusal(Refuse(Reason::kBadRequest, "damaged query"));
+  }
+  if (view->kind() == fb::ProgramQueryKind::PendingReleases) {
+    return ListReleases(view->limit());
+  }
+  const StoredProgram* program = Find(TextOf(view->id()));
+  if (program == nullptr) {
+    return EncodeRefusal(
+        Refuse(Reason::kUnknownProgram, "no such program in this domain"));
+  }
+  switch (view->kind()) {
+    case fb::ProgramQueryKind::Read:
+      return EncodeProgram(*program);
+    case fb::ProgramQueryKind::Locate:
+      return EncodeOwnership(program->state);
+    default:
+      return EncodeRefusal(Refuse(Reason::kBadRequest, "unknown query"));
+  }
+}
+
+std::string ProgramMachine::ListReleases(size_t limit) const {
+  FlatBufferBuilder builder;
+  std::vector<Offset<fb::ProgramRelease>> releases;
+  for (const auto& [ended_ms, id] : pending_) {
+    for (const UpstreamId& holder : Find(id)->state.cache_holders) {
+      if (releases.size() >= limit) {
+        break;
+      }
+      const auto program = builder.CreateString(id);
+      const auto upstream = WriteUpstream(builder, holder);
+      releases.push_back(
+          fb::CreateProgramRelease(builder, program, upstream, ended_ms));
+    }
+    if (releases.size() >= limit) {
+      break;
+    }
+  }
+  const auto list = builder.CreateVector(releases);
+  builder.Finish(fb::CreateProgramResult(builder, 0, 0, 0, 0, list));
+  return BytesOf(builder);
+}
+
+// One length-prefixed buffer for each program: a single FlatBuffer is limited
+// to 2 GiB and would hold a second copy of the state while it is built.
+std::string ProgramMachine::Save() const {
+  std::string body;
+  AppendValue<uint64_t>(body, programs_.size());
+  FlatBufferBuilder builder;
+  for (const auto& [id, program] : programs_) {
+    builder.Clear();
+    builder.Finish(WriteProgram(builder, program, /*internals=*/true));
+    AppendValue<uint32_t>(body, builder.GetSize());
+    body.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                builder.GetSize());
+  }
+  return SealSnapshot(kSnapshotMagic, kSnapshotVersion, body);
+}
+
+Status ProgramMachine::Load(std::string_view snapshot) {
+  const Refusal corrupt =
+      Refuse(Reason::kCorruptData, "program snapshot is damaged");
+  const auto opened = OpenSnapshot(kSnapshotMagic, kSnapshotVersion, snapshot);
+  if (!opened) {
+    return opened.refusal();
+  }
+  std::string_view body = *opened;
+  uint64_t count = 0;
+  if (!TakeValue(body, count)) {
+    return corrupt;
+  }
+  Programs programs;
+  for (uint64_t i = 0; i < count; ++i) {
+    uint32_t size = 0;
+    if (!TakeValue(body, size) || size > body.size()) {
+      return corrupt;
+    }
+    const FlatView<fb::ProgramRecord> record(body.substr(0, size));
+    body.remove_prefix(size);
+    std::optional<StoredProgram> program;
+    if (record) {
+      program = ReadProgram(*record.get());
+    }
+    if (!program || program->state.id.home_domain() != domain_) {
+      return corrupt;
+    }
+    std::string id = program->state.id.text();
+    if (!programs.emplace(std::move(id), std::move(*program)).second) {
+      return corrupt;
+    }
+  }
+  if (!body.empty()) {
+    return corrupt;
+  }
+  programs_ = std::move(programs);
+  tombstones_.clear();
+  pending_.clear();
+  for (const auto& [id, program] : programs_) {
+    if (program.state.ended) {
+      IndexTombstone(program);
+    }
+  }
+  return Done{};
+}
+
+std::unique_ptr<StateMachineI> CreateProgramMachine(
+    const std::string& domain,
+    const ProgramLimits& limits) {
+  return std::make_unique<ProgramMachine>(domain, limits);
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/program_machine_calls.cc
@@ -0,0 +1,321 @@
+#include <algorithm>
+
+#include "core_flatbuffer_p.h"
+#include "program_machine_p.h"
+
+namespace ring {
+namespace {
+
+constexpr size_t kMaxKeyBytes = 256;
+
+/// Only answers of the latest calls are kept. The call under way is the newest
+/// and is never dropped.
+void DropOldAnswers(std::vector<CallRecord>& calls) {
+  if (calls.size() > kKeptAnswers) {
+    calls.erase(calls.begin(),
+                calls.end() - static_cast<ptrdiff_t>(kKeptAnswers));
+  }
+}
+
+void RecordAttempt(StoredProgram& program,
+                   CallRecord& call,
+                   std::string_view attempt,
+                   const UpstreamId& upstream,
+                   bool holds_cache) {
+  call.attempt = attempt;
+  std::erase(call.tried, upstream);
+  call.tried.push_back(upstream);  // The latest attempt is last.
+  program.call_holds_cache = holds_cache;
+  if (holds_cache) {
+    AddHolder(program.state.cache_holders, upstream);
+  }
+}
+
+Status CheckForm(const fb::ProgramBegin& command) {
+  if (command.sequence() == 0 || TextOf(command.digest()).empty() ||
+      TextOf(command.attempt()).empty() || command.reserve_tokens() < 0) {
+    return Refuse(Reason::kBadRequest,
+                  "sequence, digest, attempt and a reserve are required");
+  }
+  if (TextOf(command.idempotency_key()).size() > kMaxKeyBytes) {
+    return Refuse(Reason::kBadRequest, "the idempotency key is too long");
+  }
+  if (command.holds_cache() && !isValid(ReadUpstream(command.upstream()))) {
+    return Refuse(Reason::kBadRequest, "a cache holder needs an upstream");
+  }
+  return Done{};
+}
+
+Status CheckKey(const StoredProgram& program, const fb::ProgramBegin& command) {
+  const std::string_view key = TextOf(command.idempotency_key());
+  const auto it = key.empty() ? program.keys.end() : program.keys.find(key);
+  if (it == program.keys.end() || it->second == command.sequence()) {
+    return Done{};
+  }
+  for (const CallRecord& call : program.state.calls) {
+    if (call.sequence == it->second) {
+      const bool same = call.digest == TextOf(command.digest());
+      return Refuse(same ? Reason::kConflict : Reason::kSequenceReuse,
+                    "the idempotency key belongs to sequence " +
+                        std::to_string(it->second));
+    }
+  }
+  return Refuse(Reason::kAnswerExpired,
+                "the idempotency key belongs to an older call");
+}
+
+}  // namespace
+
+Status ProgramMachine::CheckBudget(const StoredProgram& program,
+                                   const fb::ProgramBegin& command,
+                                   int64_t returned_tokens) const {
+  const ProgramState& state = program.state;
+  if (now_ms_ >= state.deadline_wall_ms) {
+    return Refuse(Reason::kProgramExpired, "the deadline has passed");
+  }
+  if (command.reserve_tokens() > state.available_tokens() + returned_tokens) {
+    return Refuse(
+        Reason::kBudgetExceeded,
+        "the call may use " + std::to_string(command.reserve_tokens()) +
+            " tokens, left are " +
+            std::to_string(state.available_tokens() + returned_tokens));
+  }
+  return Done{};
+}
+
+Status ProgramMachine::CheckNewCall(const StoredProgram& program,
+                                    const fb::ProgramBegin& command) const {
+  const ProgramState& state = program.state;
+  if (command.sequence() > state.next_sequence) {
+    return Refuse(Reason::kSequenceGap,
+                  "next is " + std::to_string(state.next_sequence));
+  }
+  if (command.sequence() < state.next_sequence) {
+    return Refuse(Reason::kAnswerExpired, "the answer is no longer kept");
+  }
+  if (program.CallUnderWay() != nullptr) {
+    return Refuse(Reason::kConflict, "another call is under way");
+  }
+  if (TextOf(command.attempt()) == program.aborted_attempt) {
+    return Refuse(Reason::kCancelled, "the attempt was aborted");
+  }
+  if (Status status = CheckKey(program, command); !status) {
+    return status;
+  }
+  if (state.turns >= limits_.max_turns) {
+    return Refuse(Reason::kTurnLimit,
+                  "at most " + std::to_string(limits_.max_turns) + " calls");
+  }
+  if (program.history_tokens >= limits_.max_history_tokens) {
+    return Refuse(Reason::kHistoryTooLong,
+                  "at most " + std::to_string(limits_.max_history_tokens) +
+                      " tokens of history");
+  }
+  return CheckBudget(program, command, 0);
+}
+
+void ProgramMachine::RecordNewCall(StoredProgram& program,
+                                   const fb::ProgramBegin& command) {
+  ProgramState& state = program.state;
+  CallRecord call;
+  call.sequence = command.sequence();
+  call.digest = TextOf(command.digest());
+  call.idempotency_key = TextOf(command.idempotency_key());
+  call.idempotent = command.idempotent();
+  call.epoch = command.epoch();
+  call.reserved_tokens = command.reserve_tokens();
+  RecordAttempt(program, call, TextOf(command.attempt()),
+                ReadUpstream(command.upstream()), command.holds_cache());
+  if (!call.idempotency_key.empty()) {
+    program.keys[call.idempotency_key] = call.sequence;
+  }
+  state.calls.push_back(std::move(call));
+  DropOldAnswers(state.calls);
+  state.reserved_tokens += command.reserve_tokens();
+  state.next_sequence = command.sequence() + 1;
+  state.last_activity_wall_ms = now_ms_;
+}
+
+Status ProgramMachine::BeginAgain(StoredProgram& program,
+                                  CallRecord& call,
+                                  const fb::ProgramBegin& command) {
+  if (call.digest != TextOf(command.digest())) {
+    return Refuse(Reason::kSequenceReuse,
+                  "the sequence number belongs to another request");
+  }
+  if (call.state == CallState::kFinished) {
+    return Refuse(Reason::kConflict, "the call has finished");
+  }
+  if (call.attempt == TextOf(command.attempt())) {
+    return Done{};
+  }
+  if (!call.idempotent || call.epoch == command.epoch()) {
+    return Refuse(Reason::kConflict, "the call is under way");
+  }
+  if (Status status = CheckBudget(program, command, call.reserved_tokens);
+      !status) {
+    return status;
+  }
+  ProgramState& state = program.state;
+  state.reserved_tokens += command.reserve_tokens() - call.reserved_tokens;
+  state.last_activity_wall_ms = now_ms_;
+  call.reserved_tokens = command.reserve_tokens();
+  call.epoch = command.epoch();
+  RecordAttempt(program, call, TextOf(command.attempt()),
+                ReadUpstream(command.upstream()), command.holds_cache());
+  return Done{};
+}
+
+Status ProgramMachine::Begin(const fb::ProgramBegin& command) {
+  const auto found = FindOwned(command.id(), command.epoch());
+  if (!found) {
+    return found.refusal();
+  }
+  StoredProgram& program = **found;
+  if (program.state.ended) {
+    return RefuseEnded(program.state);
+  }
+  if (Status status = CheckForm(command); !status) {
+    return status;
+  }
+  if (CallRecord* call = program.FindCall(command.sequence())) {
+    return BeginAgain(program, *call, command);
+  }
+  if (Status status = CheckNewCall(program, command); !status) {
+    return status;
+  }
+  RecordNewCall(program, command);
+  return Done{};
+}
+
+Status ProgramMachine::Retry(const fb::ProgramRetry& command) {
+  const auto found = FindOwned(command.id(), command.epoch());
+  if (!found) {
+    return found.refusal();
+  }
+  StoredProgram& program = **found;
+  if (program.state.ended) {
+    return RefuseEnded(program.state);
+  }
+  CallRecord* call = program.FindCall(command.sequence());
+  if (call == nullptr || call->state != CallState::kBegun) {
+    return Refuse(Reason::kConflict, "the call is not under way");
+  }
+  const std::string_view attempt = TextOf(command.attempt());
+  if (call->attempt == attempt) {
+    return Done{};
+  }
+  if (attempt.empty() || call->attempt != TextOf(command.previous_attempt())) {
+    return Refuse(Reason::kConflict, "another attempt is under way");
+  }
+  if (!call->idempotent && !command.previous_not_run()) {
+    return Refuse(Reason::kNotAllowed,
+                  "a non-idempotent call may have run already");
+  }
+  if (now_ms_ >= program.state.deadline_wall_ms) {
+    return Refuse(Reason::kProgramExpired, "the deadline has passed");
+  }
+  call->epoch = command.epoch();
+  program.state.last_activity_wall_ms = now_ms_;
+  RecordAttempt(program, *call, attempt, ReadUpstream(command.upstream()),
+                command.holds_cache());
+  return Done{};
+}
+
+Status ProgramMachine::Abort(const fb::ProgramAbort& command) {
+  const auto found = FindOwned(command.id(), command.epoch());
+  if (!found) {
+    return found.refusal();
+  }
+  StoredProgram& program = **found;
+  const std::string_view attempt = TextOf(command.attempt());
+  if (!attempt.empty() && attempt == program.aborted_attempt) {
+    return Done{};
+  }
+  if (program.state.ended) {
+    return RefuseEnded(program.state);
+  }
+  CallRecord* call = program.FindCall(command.sequence());
+  if (call == nullptr || call->state != CallState::kBegun ||
+      call->attempt != attempt) {
+    return Refuse(Reason::kConflict, "the attempt is not under way");
+  }
+  ProgramState& state = program.state;
+  state.reserved_tokens -= call->reserved_tokens;
+  state.next_sequence = call->sequence;
+  state.last_activity_wall_ms = now_ms_;
+  program.aborted_attempt = attempt;
+  program.keys.erase(call->idempotency_key);
+  state.calls.pop_back();
+  return Done{};
+}
+
+void ProgramMachine::Settle(StoredProgram& program,
+                            CallRecord& call,
+                            int64_t used_tokens) {
+  ProgramState& state = program.state;
+  call.state = CallState::kFinished;
+  call.used_tokens = std::clamp<int64_t>(used_tokens, 0, call.reserved_tokens);
+  state.reserved_tokens -= call.reserved_tokens;
+  state.used_tokens += call.used_tokens;
+  state.last_activity_wall_ms = now_ms_;
+  ++state.turns;
+}
+
+void ProgramMachine::FinishAsUnknown(StoredProgram& program, CallRecord& call) {
+  Settle(program, call, call.reserved_tokens);
+  call.run_state = RunState::kUnknown;
+  call.reason = Reason::kOutcomeUnknown;
+}
+
+Status ProgramMachine::RefuseFinishAfterEnd(StoredProgram& program,
+                                            const fb::ProgramFinish& command) {
+  const CallRecord* call = program.FindCall(command.sequence());
+  const bool was_under_way = call != nullptr &&
+                             call->state == CallState::kBegun &&
+                             call->attempt == TextOf(command.attempt());
+  if (was_under_way && program.call_holds_cache && !call->tried.empty()) {
+    // The call may have filled the cache after its release was confirmed.
+    AddHolder(program.state.cache_holders, call->tried.back());
+    IndexTombstone(program);
+  }
+  return Refuse(Reason::kProgramEnded, "the program ended during the call");
+}
+
+Status ProgramMachine::Finish(const fb::ProgramFinish& command) {
+  const auto found = FindOwned(command.id(), command.epoch());
+  if (!found) {
+    return found.refusal();
+  }
+  StoredProgram& program = **found;
+  CallRecord* call = program.FindCall(command.sequence());
+  const bool same_attempt = call != nullptr && call->epoch == command.epoch() &&
+                            call->attempt == TextOf(command.attempt());
+  if (same_attempt && call->state == CallState::kFinished) {
+    return Done{};
+  }
+  if (program.state.ended) {
+    return RefuseFinishAfterEnd(program, command);
+  }
+  if (!same_attempt || call->state == CallState::kFinished) {
+    return Refuse(Reason::kConflict, "the attempt is not under way");
+  }
+  if (command.run_state() > static_cast<uint8_t>(RunState::kUnknown)) {
+    return Refuse(Reason::kBadRequest, "unknown run state");
+  }
+  Settle(program, *call, command.used_tokens());
+  call->run_state = static_cast<RunState>(command.run_state());
+  call->reason = ReadReason(command.reason());
+  call->http_status = command.http_status();
+  call->content_type = TextOf(command.content_type());
+  call->answer = TextOf(command.answer());
+  if (command.history_delta() != nullptr) {
+    for (const flatbuffers::String* message : *command.history_delta()) {
+      program.state.history.emplace_back(message->string_view());
+      program.history_tokens += CountTokens(message->size());
+    }
+  }
+  return Done{};
+}
+
+}  // namespace ring
