--- a/include/persimmonring/core.h
+++ b/include/persimmonring/core.h
@@ -15,7 +15,7 @@
 namespace ring {
 
 /// Why a request was refused, failed or retried. Each value is one counter
-/// label and one row in docs/protocol.md.
+/// label and one row in docs/reasons.md.
 enum class Reason : uint8_t {
   kNone,
   // Bad input.
