Add the control state machine, its codec, a local store and the order plan

Entries and operators need release notes, leases and quarantine. A renewed lease raises the fence, so that orders of the holder's former life are refused by upstreams that check it.

--- a/include/persimmonring/control.h
+++ b/include/persimmonring/control.h
@@ -17,7 +17,10 @@
 
 /// An operator's change. The body is JSON text:
 /// {"added": [item...], "changed": [item...], "withdrawn": [item...]}; an item
-/// is {"kind": "model|adapter|service|team|limit", "name": "...", ...}.
+/// is {"kind": "model|adapter|service|team|limit", "name": "...", ...}. A
+/// changed item replaces the former one completely. Fields of models and
+/// adapters that PlanOrders uses: "version", "model" (of an adapter, required),
+/// "role", "upstreams" (names; absent: all engines).
 struct ReleaseNote {
   uint64_t number = 0;  ///< From 1; the next note has the next number.
   std::string operator_id;
@@ -42,7 +45,9 @@
   auto operator<=>(const NoteResult&) const = default;
 };
 
-/// Right to send orders to the upstreams of one domain.
+/// Right to send orders to the upstreams of one domain. Each grant, also a
+/// renewal, raises the fence: a restarted holder keeps its name, and orders of
+/// its former life that are still on the way must not be accepted.
 struct ReconcilerLease {
   std::string domain;
   std::string entry;
@@ -58,13 +63,20 @@
   uint64_t note_number = 0;  ///< Number of the latest note.
   std::string note_digest;
   std::map<std::string, std::string> items;  ///< "kind/name" to JSON text.
+  /// Grows with each change of the two lists below.
   uint64_t quarantine_version = 0;
-  std::vector<std::string> quarantined;  ///< Digests of refused requests.
+  /// Digests of refused requests, oldest first, at most kMaxQuarantined.
+  std::vector<std::string> quarantined;
   std::vector<std::string> lost_domains;
 
   auto operator<=>(const ControlView&) const = default;
 };
 
+/// Most quarantined digests; a further one drops the oldest. A digest enters
+/// only after two crashes, so a full list means a fault that needs an operator,
+/// and the bound keeps the view that each node holds under 70 KB.
+constexpr size_t kMaxQuarantined = 1'024;
+
 /// Version that a node last reported.
 struct NodeVersion {
   std::string node;
@@ -121,4 +133,43 @@
 
 std::unique_ptr<ControlStoreI> CreateLocalControlStore(const ClockI& clock);
 
+// ------------------------------------------------------------- reconciler plan
+
+/// What an engine reports: {"models": [{"name", "version"}...], "adapters":
+/// [{"name", "model", "version"}...], "role": "..."}.
+struct UpstreamReport {
+  std::string upstream;
+  std::string state;  ///< JSON text of GET /v1/state.
+
+  auto operator<=>(const UpstreamReport&) const = default;
+};
+
+/// An order to an upstream that brings it closer to the ring description.
+struct PlannedOrder {
+  std::string upstream;
+  uint64_t fence = 0;
+  std::string action;  ///< "unload", "load_model", "load_adapter", "set_role"
+  std::string model;
+  std::string version;
+  std::string adapter;
+  std::string role;
+
+  auto operator<=>(const PlannedOrder&) const = default;
+};
+
+/// Compares the ring description with what engines report. Deterministic; safe
+/// to send again, because an order that was carried out is not planned again.
+/// Nothing is unloaded while the description names no model, and an engine
+/// whose report cannot be read gets no orders.
+/// @param items of ControlView
+/// @param fence of the lease under which the orders are sent
+/// @param load_tokens most load orders, because the weight store is
+///        rate-limited; the other orders need none
+/// @returns orders sorted by upstream, in the order in which to send them
+std::vector<PlannedOrder> PlanOrders(
+    const std::map<std::string, std::string>& items,
+    const std::vector<UpstreamReport>& reports,
+    uint64_t fence,
+    size_t load_tokens);
+
 }  // namespace ring
--- /dev/null
+++ b/src/control_plan.cc
@@ -0,0 +1,211 @@
+#include <algorithm>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+#include "persimmonring/control.h"
+
+namespace ring {
+namespace {
+
+using nlohmann::json;
+
+/// A model or adapter, desired or reported.
+struct Weights {
+  std::string name;
+  std::string model;  ///< Of an adapter.
+  std::string version;
+};
+
+struct EngineState {
+  std::vector<Weights> models;
+  std::vector<Weights> adapters;
+  std::string role;
+};
+
+std::string TextField(const json& object, const char* key) {
+  const auto it = object.find(key);
+  return it != object.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+std::optional<std::vector<Weights>> ReadWeights(const json& report,
+                                                const char* key) {
+  std::vector<Weights> all;
+  const json list = report.value(key, json::array());
+  if (!list.is_array()) {
+    return std::nullopt;
+  }
+  for (const json& entry : list) {
+    Weights weights;
+    if (entry.is_string()) {
+      weights.name = entry.get<std::string>();
+    } else if (entry.is_object()) {
+      weights = {TextField(entry, "name"), TextField(entry, "model"),
+                 TextField(entry, "version")};
+    }
+    if (weights.name.empty()) {
+      return std::nullopt;
+    }
+    all.push_back(std::move(weights));
+  }
+  return all;
+}
+
+std::optional<EngineState> ReadReport(const std::string& text) {
+  const json report = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!report.is_object()) {
+    return std::nullopt;
+  }
+  auto models = ReadWeights(report, "models");
+  auto adapters = ReadWeights(report, "adapters");
+  if (!models || !adapters) {
+    return std::nullopt;
+  }
+  return EngineState{std::move(*models), std::move(*adapters),
+                     TextField(report, "role")};
+}
+
+const Weights* Find(const std::vector<Weights>& all, const std::string& name) {
+  const auto it = std::find_if(
+      all.begin(), all.end(), [&](const Weights& w) { return w.name == name; });
+  return it == all.end() ? nullptr : &*it;
+}
+
+bool IsFor(const json& item, const std::string& upstream) {
+  const auto it = item.find("upstreams");
+  return it == item.end() ||
+         std::find(it->begin(), it->end(), upstream) != it->end();
+}
+
+/// @returns what one upstream should hold
+EngineState DesiredFor(const std::vector<json>& items,
+                       const std::string& upstream) {
+  EngineState desired;
+  for (const json& item : items) {
+    if (!IsFor(item, upstream)) {
+      continue;
+    }
+    Weights weights{TextField(item, "name"), TextField(item, "model"),
+                    TextField(item, "version")};
+    const bool is_model = TextField(item, "kind") == "model";
+    (is_model ? desired.models : desired.adapters)
+        .push_back(std::move(weights));
+    if (is_model && desired.role.empty()) {
+      desired.role = TextField(item, "role");
+    }
+  }
+  return desired;
+}
+
+/// Plans the orders for one upstream.
+class UpstreamPlan {
+ public:
+  UpstreamPlan(std::string upstream,
+               uint64_t fence,
+               size_t& load_tokens,
+               std::vector<PlannedOrder>& orders)
+      : upstream_(std::move(upstream)),
+        fence_(fence),
+        load_tokens_(load_tokens),
+        orders_(orders) {}
+
+  /// Unloads come first because they free memory for the loads.
+  void Plan(const EngineState& desired,
+            const EngineState& reported,
+            bool may_unload) {
+    if (may_unload) {
+      Unload(desired, reported);
+    }
+    for (const Weights& model : desired.models) {
+      if (NeedsLoad(model, Find(reported.models, model.name))) {
+        AddLoad({.action = "load_model",
+                 .model = model.name,
+                 .version = model.version});
+      }
+    }
+    for (const Weights& adapter : desired.adapters) {
+      // An adapter waits until its model is reported as loaded.
+      if (Find(reported.models, adapter.model) != nullptr &&
+          NeedsLoad(adapter, Find(reported.adapters, adapter.name))) {
+        AddLoad({.action = "load_adapter",
+                 .model = adapter.model,
+                 .version = adapter.version,
+                 .adapter = adapter.name});
+      }
+    }
+    if (!desired.role.empty() && desired.role != reported.role) {
+      Add({.action = "set_role", .role = desired.role});
+    }
+  }
+
+ private:
+  static bool NeedsLoad(const Weights& desired, const Weights* reported) {
+    return reported == nullptr ||
+           (!desired.version.empty() && desired.version != reported->version);
+  }
+
+  void Unload(const EngineState& desired, const EngineState& reported) {
+    for (const Weights& adapter : reported.adapters) {
+      if (Find(desired.adapters, adapter.name) == nullptr) {
+        Add({.action = "unload",
+             .model = adapter.model,
+             .adapter = adapter.name});
+      }
+    }
+    for (const Weights& model : reported.models) {
+      if (Find(desired.models, model.name) == nullptr) {
+        Add({.action = "unload", .model = model.name});
+      }
+    }
+  }
+
+  void AddLoad(PlannedOrder order) {
+    if (load_tokens_ > 0) {
+      --load_tokens_;
+      Add(std::move(order));
+    }
+  }
+
+  void Add(PlannedOrder order) {
+    order.upstream = upstream_;
+    order.fence = fence_;
+    orders_.push_back(std::move(order));
+  }
+
+  const std::string upstream_;
+  const uint64_t fence_;
+  size_t& load_tokens_;
+  std::vector<PlannedOrder>& orders_;
+};
+
+}  // namespace
+
+std::vector<PlannedOrder> PlanOrders(
+    const std::map<std::string, std::string>& items,
+    const std::vector<UpstreamReport>& reports,
+    uint64_t fence,
+    size_t load_tokens) {
+  std::vector<json> weights;
+  bool may_unload = false;
+  for (const auto& [key, text] : items) {
+    const json item = json::parse(text, nullptr, /*allow_exceptions=*/false);
+    const std::string kind =
+        item.is_object() ? TextField(item, "kind") : std::string();
+    may_unload = may_unload || kind == "model";
+    if (kind == "model" || kind == "adapter") {
+      weights.push_back(item);
+    }
+  }
+  std::vector<UpstreamReport> sorted = reports;
+  std::sort(sorted.begin(), sorted.end());
+  std::vector<PlannedOrder> orders;
+  for (const UpstreamReport& report : sorted) {
+    if (const auto reported = ReadReport(report.state)) {
+      UpstreamPlan(report.upstream, fence, load_tokens, orders)
+          .Plan(DesiredFor(weights, report.upstream), *reported, may_unload);
+    }
+  }
+  return orders;
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/control_result_p.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// Results of the control state machine.
+
+#include <string>
+
+#include "persimmonring/control.h"
+
+namespace ring::control_result {
+
+/// @param refusal reason kNone stands for success
+std::string Encode(const Refusal& refusal);
+std::string Encode(const Outcome<NoteResult>& outcome);
+std::string Encode(const Outcome<ReconcilerLease>& outcome);
+std::string Encode(const ControlView& view);
+
+}  // namespace ring::control_result
--- a/src/control_state_p.h
+++ b/src/control_state_p.h
@@ -40,8 +40,8 @@
   Outcome<ReconcilerLease> GrantLease(const fb::ControlLease& command);
   Status AddQuarantine(const fb::ControlQuarantine& command);
   Status LoseDomain(const fb::ControlDomainLost& command);
-  std::string EncodeCurrentView() const;
-  bool ReadSnapshot(const fb::ControlSnapshot& snapshot);
+  ControlView CurrentView() const;
+  bool ReadSnapshot(const fb::ControlSnapshotT& snapshot);
   uint64_t version() const;
   std::string DigestOfNote(uint64_t number) const;
 
