--- a/include/persimmonring/wire.h
+++ b/include/persimmonring/wire.h
@@ -30,6 +30,9 @@
 };
 
 /// Encodes a frame with length and checksum.
+/// @param from sending node; set in Hello frames only, because a session has
+///        one peer
+/// @param compress allows zstd for a payload over 512 bytes
 std::string EncodeFrame(const Frame& frame,
                         std::string_view from,
                         bool compress);
@@ -58,9 +61,12 @@
  public:
   virtual ~HubListenerI() = default;
   virtual void OnOpened(SessionHandle session, const PeerInfo& peer) = 0;
+  /// Hello, Ping and Pong are handled by the hub and not passed on.
   virtual void OnFrame(SessionHandle session,
                        const PeerInfo& peer,
                        const Frame& frame) = 0;
+  /// Called for each session that was opened, and for sessions refused with
+  /// version_mismatch, which were not.
   /// @param reason why the session ended: upstream_reset, upstream_timeout
   ///        (silence), version_mismatch, corrupt_data, cancelled
   virtual void OnClosed(SessionHandle session,
@@ -95,15 +101,17 @@
     std::string domain;
     std::string region;
     Endpoint listen;  ///< Invalid: do not listen.
+    /// A Ping is sent when nothing else was sent for this time.
     int64_t ping_period_ms = 500;
     int64_t silence_limit_ms = 2'000;
-    int64_t reconnect_delay_ms = 200;
+    int64_t reconnect_delay_ms = 200;    ///< Grows to five times this.
     size_t max_queue_bytes = 32u << 20;  ///< For each session.
     size_t max_sessions = 1'024;
   };
 
   /// Bytes sent and received, for the metrics ring_wire_bytes_total
-  /// {class, link, direction} and for tests.
+  /// {class, link, direction} and for tests. Bytes are brought up to date once
+  /// a second.
   struct Stats {
     uint64_t sent_bytes = 0;
     uint64_t received_bytes = 0;
