--- /dev/null
+++ b/src/policy_common_p.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// Parts that all policies share: free slots, rules for suspects and refusals.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "persimmonring/policy.h"
+
+namespace ring {
+
+/// Free slots of the upstreams while one decision is made. Counts the calls
+/// that the decision has placed so far.
+class SlotTable {
+ public:
+  explicit SlotTable(const std::vector<UpstreamView>& upstreams);
+
+  size_t size() const { return slots_.size(); }
+  bool Contains(UpstreamHandle handle) const {
+    return handle.index < slots_.size();
+  }
+  /// @returns true if the upstream may take work at all
+  bool Usable(UpstreamHandle handle) const;
+  /// @returns true if one more ordinary call may start there now
+  bool HasRoom(UpstreamHandle handle) const;
+  /// @returns true if a suspect may start there now
+  bool IsEmpty(UpstreamHandle handle) const;
+  int32_t own_in_flight(UpstreamHandle handle) const {
+    return slots_[handle.index].own;
+  }
+  void Take(UpstreamHandle handle) { ++slots_[handle.index].own; }
+  /// Excludes the upstream from further assignments of this decision.
+  void Reserve(UpstreamHandle handle) { slots_[handle.index].reserved = true; }
+
+ private:
+  struct Slot {
+    int32_t own = 0;
+    int32_t other = 0;
+    int32_t limit = 0;
+    bool usable = false;
+    bool isolated = false;
+    bool reserved = false;
+  };
+  std::vector<Slot> slots_;
+};
+
+/// @returns true if the call failed on this upstream before
+bool HasFailedOn(const CallView& call, UpstreamHandle handle);
+
+/// @returns true if a candidate of the call may take work at some time
+bool HasUsableCandidate(const CallView& call, const SlotTable& slots);
+
+/// Places a suspect alone. Without an empty upstream, the one that is closest
+/// to empty receives no further work, so that a busy ring cannot starve the
+/// suspect.
+std::optional<UpstreamHandle> PlaceSuspect(const CallView& call,
+                                           SlotTable& slots);
+
+std::unique_ptr<PolicyI> CreateRoundRobinPolicy(const PolicyInit& init);
+std::unique_ptr<PolicyI> CreateLeastInFlightPolicy(const PolicyInit& init);
+std::unique_ptr<PolicyI> CreateProgramPolicy(const PolicyInit& init);
+
+}  // namespace ring
--- /dev/null
+++ b/src/policy_first_come.cc
@@ -0,0 +1,157 @@
+// First-come policies: the baselines for comparisons. They know upstream limits
+// and queue bounds, but neither programs nor cached prefixes.
+
+#include <algorithm>
+
+#include "policy_common_p.h"
+
+namespace ring {
+namespace {
+
+// First-come policies have no estimate of when a queue has room.
+constexpr int64_t kQueueFullRetryMs = 1'000;
+
+class FirstComePolicy : public PolicyI {
+ public:
+  explicit FirstComePolicy(const PolicyInit& init) : init_(init) {}
+
+  Decision Decide(const PolicyInput& input) const override {
+    Decision decision;
+    SlotTable slots(input.upstreams);
+    Rng rng(input.seed);
+    int64_t waiting = 0;
+    uint64_t position = input.seed;
+    for (const CallView& call : input.queue) {
+      const Reason refused = CheckCall(call, slots, input.now_ms);
+      if (refused != Reason::kNone) {
+        Refuse(call, refused, rng, decision);
+        continue;
+      }
+      const UpstreamHandle handle = Place(call, input, slots, position);
+      if (isValid(handle)) {
+        decision.assignments.push_back(
+            {.ticket = call.ticket, .upstream = handle});
+      } else if (++waiting > init_.max_queue) {
+        Refuse(call, Reason::kQueueFull, rng, decision);
+      }
+    }
+    return decision;
+  }
+
+ protected:
+  /// @param position round-robin position; an implementation may advance it
+  /// @returns an upstream with room, or an invalid handle
+  virtual UpstreamHandle Choose(const CallView& call,
+                                const PolicyInput& input,
+                                const SlotTable& slots,
+                                uint64_t& position) const = 0;
+
+ private:
+  static Reason CheckCall(const CallView& call,
+                          const SlotTable& slots,
+                          int64_t now_ms) {
+    if (call.deadline_ms > 0 && call.deadline_ms <= now_ms) {
+      return Reason::kDeadlinePassed;
+    }
+    return HasUsableCandidate(call, slots) ? Reason::kNone
+                                           : Reason::kNoUpstream;
+  }
+
+  static void Refuse(const CallView& call,
+                     Reason reason,
+                     Rng& rng,
+                     Decision& decision) {
+    decision.rejections.push_back(
+        {.ticket = call.ticket,
+         .reason = reason,
+         .retry_after_ms = SpreadRetryAfterMs(rng, kQueueFullRetryMs)});
+  }
+
+  UpstreamHandle Place(const CallView& call,
+                       const PolicyInput& input,
+                       SlotTable& slots,
+                       uint64_t& position) const {
+    if (call.suspect) {
+      return PlaceSuspect(call, slots).value_or(UpstreamHandle{});
+    }
+    const UpstreamHandle handle = Choose(call, input, slots, position);
+    if (isValid(handle)) {
+      slots.Take(handle);
+    }
+    return handle;
+  }
+
+  const PolicyInit init_;
+};
+
+class RoundRobinPolicy final : public FirstComePolicy {
+ public:
+  using FirstComePolicy::FirstComePolicy;
+  const char* name() const override { return "fcfs-round-robin"; }
+
+ private:
+  UpstreamHandle Choose(const CallView& call,
+                        const PolicyInput& /*input*/,
+                        const SlotTable& slots,
+                        uint64_t& position) const override {
+    // Decide has no memory, so the start position comes from the seed, which
+    // the caller changes with each decision.
+    const size_t count = call.candidates.size();
+    UpstreamHandle failed;
+    for (size_t i = 0; i < count; ++i) {
+      const UpstreamHandle handle = call.candidates[(position + i) % count];
+      if (!slots.HasRoom(handle)) {
+        continue;
+      }
+      if (!HasFailedOn(call, handle)) {
+        position += i + 1;
+        return handle;
+      }
+      failed = handle;
+    }
+    return failed;
+  }
+};
+
+class LeastInFlightPolicy final : public FirstComePolicy {
+ public:
+  using FirstComePolicy::FirstComePolicy;
+  const char* name() const override { return "fcfs-least-in-flight"; }
+
+ private:
+  UpstreamHandle Choose(const CallView& call,
+                        const PolicyInput& input,
+                        const SlotTable& slots,
+                        uint64_t& /*position*/) const override {
+    UpstreamHandle best;
+    bool best_failed = false;
+    int64_t best_in_flight = 0;
+    for (const UpstreamHandle handle : call.candidates) {
+      if (!slots.HasRoom(handle)) {
+        continue;
+      }
+      const bool failed = HasFailedOn(call, handle);
+      const int64_t in_flight = slots.own_in_flight(handle) +
+                                input.upstreams[handle.index].other_in_flight;
+      if (!isValid(best) || std::pair(failed, in_flight) <
+                                std::pair(best_failed, best_in_flight)) {
+        best = handle;
+        best_failed = failed;
+        best_in_flight = in_flight;
+      }
+    }
+    return best;
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<PolicyI> CreateRoundRobinPolicy(const PolicyInit& init) {
+  return std::make_unique<RoundRobinPolicy>(init);
+}
+
+std::unique_ptr<PolicyI> CreateLeastInFlightPolicy(const PolicyInit& init) {
+  return std::make_unique<LeastInFlightPolicy>(init);
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/policy_retry.cc
@@ -0,0 +1,83 @@
+#include <algorithm>
+#include <mutex>
+
+#include "persimmonring/policy.h"
+
+namespace ring {
+namespace {
+
+// A quiet ring may not save up more retries than this many seconds of its
+// minimum rate, so that an outage after a quiet hour starts with few retries.
+constexpr double kMaxSavedSeconds = 10;
+
+class RetryPolicy final : public RetryPolicyI {
+ public:
+  explicit RetryPolicy(const RetryInit& init)
+      : init_(init), budget_(init.min_retries_per_s) {}
+
+  void OnCall(int64_t now_ms) override {
+    std::lock_guard lock(mutex_);
+    Refill(now_ms);
+    Earn(init_.budget_share);
+  }
+
+  RetryVerdict OnFailure(const AttemptFailure& failure) override {
+    if (!MayRepeat(failure)) {
+      return RetryVerdict::kGiveUp;
+    }
+    std::lock_guard lock(mutex_);
+    Refill(failure.now_ms);
+    if (budget_ < 1) {
+      return RetryVerdict::kGiveUp;
+    }
+    budget_ -= 1;
+    return IsCrash(failure.reason) && failure.run_state != RunState::kNotRun
+               ? RetryVerdict::kRetryAlone
+               : RetryVerdict::kRetry;
+  }
+
+ private:
+  static bool IsCrash(Reason reason) {
+    return reason == Reason::kUpstreamReset ||
+           reason == Reason::kUpstreamTruncated;
+  }
+
+  bool MayRepeat(const AttemptFailure& failure) const {
+    if (failure.attempts >= init_.max_attempts ||
+        failure.run_state == RunState::kRan) {
+      return false;
+    }
+    if (failure.deadline_ms > 0 && failure.now_ms >= failure.deadline_ms) {
+      return false;
+    }
+    return failure.idempotent || failure.run_state == RunState::kNotRun;
+  }
+
+  void Refill(int64_t now_ms) {
+    if (last_ms_ < 0) {
+      last_ms_ = now_ms;
+    }
+    const int64_t elapsed = std::max<int64_t>(now_ms - last_ms_, 0);
+    last_ms_ = std::max(last_ms_, now_ms);
+    Earn(static_cast<double>(elapsed) / 1'000 * init_.min_retries_per_s);
+  }
+
+  void Earn(double amount) {
+    const double most =
+        std::max(1.0, kMaxSavedSeconds * std::max(init_.min_retries_per_s, 1));
+    budget_ = std::min(budget_ + amount, most);
+  }
+
+  const RetryInit init_;
+  std::mutex mutex_;
+  double budget_;
+  int64_t last_ms_ = -1;
+};
+
+}  // namespace
+
+std::unique_ptr<RetryPolicyI> CreateRetryPolicy(const RetryInit& init) {
+  return std::make_unique<RetryPolicy>(init);
+}
+
+}  // namespace ring
