Add the disk, the durable store and the raft core

Groups need a replicated log before keepers can serve entries.

The store writes each batch as one checksummed record with one sync, cuts a torn last record, refuses a damaged one and a folder without identity, and rewrites the log when it is opened, so that nothing read after a failed sync counts without being durable.

--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -33,6 +33,7 @@
 };
 
 struct KeeperHostInit {
+  std::string ring;
   std::string node;
   std::string data_folder;
   std::vector<ReplicaSpec> replicas;
@@ -44,6 +45,16 @@
   uint64_t snapshot_entries = 20'000;  ///< Log length that triggers a snapshot.
   ProgramLimits program_limits;
   uint64_t seed = 0;  ///< 0: from the system's generator.
+  /// Prepares folders of replicas that were never started. Only for the first
+  /// start of a replica id: a replica whose data was lost has forgotten its
+  /// vote, and must not come back under its old id.
+  bool initialize = false;
+  /// Empty: the control and program state machines.
+  std::function<std::unique_ptr<StateMachineI>(const std::string& group)>
+      create_machine;
+  /// Empty: OpenDisk.
+  std::function<Outcome<std::unique_ptr<DiskI>>(const std::string& folder)>
+      open_disk;
 };
 
 /// Runs the replicas of one process: a thread for each group. Raft and keeper
@@ -62,6 +73,10 @@
   void AddDuties(Supervisor& supervisor);
   /// @returns true if each group has a leader that this process hears
   bool ready() const;
+  /// Asks all groups to pass leadership to another process.
+  void HandOver();
+  /// @returns number of groups that this process leads
+  size_t led_groups() const;
 
   void OnOpened(SessionHandle session, const PeerInfo& peer) override;
   void OnFrame(SessionHandle session,
--- /dev/null
+++ b/src/log_disk.cc
@@ -0,0 +1,298 @@
+#include "persimmonring/log.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace ring {
+namespace {
+
+constexpr char kLockName[] = "lock";
+constexpr char kTemporarySuffix[] = ".tmp";
+
+Refusal Failed(const std::string& what, const std::string& path, int error) {
+  std::string text = what + " " + path + ": " + std::strerror(error);
+  if (error == ENOSPC || error == EDQUOT) {
+    text += " (the disk is full)";
+  } else if (error == EROFS || error == EACCES || error == EPERM) {
+    text += " (the folder is not writable)";
+  }
+  return {Reason::kStorageFailed, RunState::kNotRun, text};
+}
+
+// Owns a file descriptor.
+class Descriptor {
+ public:
+  explicit Descriptor(int fd = -1) : fd_(fd) {}
+  ~Descriptor() {
+    if (fd_ >= 0) {
+      ::close(fd_);
+    }
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Descriptor& operator=(Descriptor&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  int get() const { return fd_; }
+  bool valid() const { return fd_ >= 0; }
+
+ private:
+  int fd_;
+};
+
+Status WriteAll(int fd, std::string_view bytes, const std::string& path) {
+  while (!bytes.empty()) {
+    const ssize_t written = ::write(fd, bytes.data(), bytes.size());
+    if (written < 0) {
+      if (errno == EINTR) {
+        continue;
+      }
+      return Failed("cannot write", path, errno);
+    }
+    bytes.remove_prefix(static_cast<size_t>(written));
+  }
+  return Done{};
+}
+
+class FolderDisk final : public DiskI {
+ public:
+  FolderDisk(std::string folder, Descriptor directory, Descriptor lock)
+      : folder_(std::move(folder)),
+        directory_(std::move(directory)),
+        lock_(std::move(lock)) {}
+
+  Outcome<std::vector<std::string>> List() override {
+    DIR* stream = ::opendir(folder_.c_str());
+    if (stream == nullptr) {
+      return Failed("cannot list", folder_, errno);
+    }
+    std::vector<std::string> names;
+    while (const dirent* entry = ::readdir(stream)) {
+      const std::string name = entry->d_name;
+      if (name != "." && name != ".." && name != kLockName) {
+        names.push_back(name);
+      }
+    }
+    ::closedir(stream);
+    std::sort(names.begin(), names.end());
+    return names;
+  }
+
+  Outcome<std::string> Read(const std::string& name) override {
+    const Descriptor file(
+        ::openat(directory_.get(), name.c_str(), O_RDONLY | O_CLOEXEC));
+    if (!file.valid()) {
+      return Failed("cannot open", Path(name), errno);
+    }
+    struct stat info = {};
+    if (::fstat(file.get(), &info) != 0) {
+      return Failed("cannot read", Path(name), errno);
+    }
+    std::string bytes(static_cast<size_t>(info.st_size), '\0');
+    size_t have = 0;
+    while (have < bytes.size()) {
+      const ssize_t got =
+          ::read(file.get(), bytes.data() + have, bytes.size() - have);
+      if (got < 0 && errno == EINTR) {
+        continue;
+      }
+      if (got < 0) {
+        return Failed("cannot read", Path(name), errno);
+      }
+      if (got == 0) {
+        break;
+      }
+      have += static_cast<size_t>(got);
+    }
+    bytes.resize(have);
+    return bytes;
+  }
+
+  Status Append(const std::string& name, std::string_view bytes) override {
+    const auto fd = AppendDescriptor(name);
+    if (!fd) {
+      return fd.refusal();
+    }
+    return WriteAll(*fd, bytes, Path(name));
+  }
+
+  Status Sync(const std::string& name) override {
+    const bool opened = append_name_ == name && append_.valid();
+    const Descriptor other(opened ? -1
+                                  : ::openat(directory_.get(), name.c_str(),
+                                             O_WRONLY | O_CLOEXEC));
+    const int fd = opened ? append_.get() : other.get();
+    if (fd < 0) {
+      return Failed("cannot open", Path(name), errno);
+    }
+    if (::fdatasync(fd) != 0) {
+      return Failed("cannot sync", Path(name), errno);
+    }
+    if (folder_changed_) {
+      return SyncFolder();
+    }
+    return Done{};
+  }
+
+  Status Replace(const std::string& name, std::string_view bytes) override {
+    if (append_name_ == name) {
+      append_ = Descriptor();
+      append_name_.clear();
+    }
+    const std::string temporary = name + kTemporarySuffix;
+    {
+      const Descriptor file(::openat(directory_.get(), temporary.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+                                     0600));
+      if (!file.valid()) {
+        return Failed("cannot create", Path(temporary), errno);
+      }
+      if (Status status = WriteAll(file.get(), bytes, Path(temporary));
+          !status) {
+        return status;
+      }
+      if (::fsync(file.get()) != 0) {
+        return Failed("cannot sync", Path(temporary), errno);
+      }
+    }
+    if (::renameat(directory_.get(), temporary.c_str(), directory_.get(),
+                   name.c_str()) != 0) {
+      return Failed("cannot rename", Path(temporary), errno);
+    }
+    return SyncFolder();
+  }
+
+  Status Truncate(const std::string& name, uint64_t size) override {
+    const Descriptor file(
+        ::openat(directory_.get(), name.c_str(), O_WRONLY | O_CLOEXEC));
+    if (!file.valid() ||
+        ::ftruncate(file.get(), static_cast<off_t>(size)) != 0) {
+      return Failed("cannot truncate", Path(name), errno);
+    }
+    if (::fsync(file.get()) != 0) {
+      return Failed("cannot sync", Path(name), errno);
+    }
+    return Done{};
+  }
+
+  Status Remove(const std::string& name) override {
+    if (::unlinkat(directory_.get(), name.c_str(), 0) != 0) {
+      return Failed("cannot remove", Path(name), errno);
+    }
+    return SyncFolder();
+  }
+
+ private:
+  std::string Path(const std::string& name) const {
+    return folder_ + "/" + name;
+  }
+
+  // The descriptor of the last appended file stays open, because a keeper
+  // appends to one file only.
+  Outcome<int> AppendDescriptor(const std::string& name) {
+    if (append_name_ == name && append_.valid()) {
+      return append_.get();
+    }
+    Descriptor file(::openat(directory_.get(), name.c_str(),
+                             O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600));
+    if (!file.valid()) {
+      return Failed("cannot open", Path(name), errno);
+    }
+    append_ = std::move(file);
+    append_name_ = name;
+    folder_changed_ = true;
+    return append_.get();
+  }
+
+  Status SyncFolder() {
+    if (::fsync(directory_.get()) != 0) {
+      return Failed("cannot sync", folder_, errno);
+    }
+    folder_changed_ = false;
+    return Done{};
+  }
+
+  const std::string folder_;
+  Descriptor directory_;
+  Descriptor lock_;
+  Descriptor append_;
+  std::string append_name_;
+  bool folder_changed_ = false;
+};
+
+// Creates missing folders along the path and syncs the parent of each, so that
+// a new folder survives a power cut.
+Status CreateFolders(const std::string& folder) {
+  size_t end = 0;
+  while (end != std::string::npos) {
+    end = folder.find('/', end + 1);
+    const std::string part = folder.substr(0, end);
+    if (::mkdir(part.c_str(), 0700) == 0) {
+      const size_t slash = part.rfind('/');
+      const std::string parent = slash == std::string::npos ? "."
+                                 : slash == 0               ? "/"
+                                              : part.substr(0, slash);
+      const Descriptor directory(
+          ::open(parent.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+      if (!directory.valid() || ::fsync(directory.get()) != 0) {
+        return Failed("cannot sync", parent, errno);
+      }
+    } else if (errno != EEXIST) {
+      return Failed("cannot create", part, errno);
+    }
+  }
+  return Done{};
+}
+
+Outcome<Descriptor*> Lock(const Descriptor& directory,
+                          const std::string& folder,
+                          Descriptor& lock) {
+  lock = Descriptor(
+      ::openat(directory.get(), kLockName, O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+  if (!lock.valid()) {
+    return Failed("cannot create", folder + "/" + kLockName, errno);
+  }
+  if (::flock(lock.get(), LOCK_EX | LOCK_NB) != 0) {
+    if (errno == EWOULDBLOCK) {
+      return Refusal{Reason::kStorageFailed, RunState::kNotRun,
+                     "folder " + folder + " is in use by another process"};
+    }
+    return Failed("cannot lock", folder, errno);
+  }
+  return &lock;
+}
+
+}  // namespace
+
+Outcome<std::unique_ptr<DiskI>> OpenDisk(const std::string& folder,
+                                         bool read_only) {
+  if (!read_only) {
+    if (Status status = CreateFolders(folder); !status) {
+      return status.refusal();
+    }
+  }
+  Descriptor directory(
+      ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  if (!directory.valid()) {
+    return Failed("cannot open", folder, errno);
+  }
+  Descriptor lock;
+  if (!read_only) {
+    if (const auto locked = Lock(directory, folder, lock); !locked) {
+      return locked.refusal();
+    }
+  }
+  return std::unique_ptr<DiskI>(std::make_unique<FolderDisk>(
+      folder, std::move(directory), std::move(lock)));
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/log_record.cc
@@ -0,0 +1,119 @@
+#include "log_record_p.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace ring {
+namespace {
+
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kHeaderBytes = 16;
+constexpr size_t kMarkerBytes = 1;
+// Not zero, so that the last sector of a whole record is never all zeros.
+constexpr char kEndMarker = '\xA5';
+// Unit in which a disk writes; an unwritten sector of a grown file reads as
+// zeros.
+constexpr size_t kSectorBytes = 512;
+
+template <typename T>
+void AppendNumber(std::string& out, T value) {
+  for (size_t i = 0; i < sizeof(T); ++i) {
+    out.push_back(static_cast<char>(value >> (8 * i)));
+  }
+}
+
+template <typename T>
+T ReadNumber(std::string_view bytes) {
+  T value = 0;
+  for (size_t i = 0; i < sizeof(T); ++i) {
+    value |= static_cast<T>(static_cast<uint8_t>(bytes[i])) << (8 * i);
+  }
+  return value;
+}
+
+uint32_t LengthCheck(std::string_view length) {
+  return static_cast<uint32_t>(Checksum(length));
+}
+
+enum class RecordState { kWhole, kCutShort, kDamaged };
+
+struct RecordView {
+  RecordState state = RecordState::kDamaged;
+  std::string_view payload;
+  size_t size = 0;
+};
+
+RecordView ReadRecord(std::string_view bytes) {
+  if (bytes.size() < kHeaderBytes) {
+    return {RecordState::kCutShort, {}, bytes.size()};
+  }
+  const std::string_view length = bytes.substr(0, kLengthBytes);
+  if (ReadNumber<uint32_t>(bytes.substr(kLengthBytes)) != LengthCheck(length)) {
+    return {RecordState::kDamaged, {}, bytes.size()};
+  }
+  const size_t size = ReadNumber<uint32_t>(length);
+  if (bytes.size() < kHeaderBytes + size + kMarkerBytes) {
+    return {RecordState::kCutShort, {}, bytes.size()};
+  }
+  const size_t total = kHeaderBytes + size + kMarkerBytes;
+  const std::string_view payload = bytes.substr(kHeaderBytes, size);
+  const bool whole = ReadNumber<uint64_t>(bytes.substr(2 * kLengthBytes)) ==
+                         Checksum(payload) &&
+                     bytes[total - 1] == kEndMarker;
+  return {whole ? RecordState::kWhole : RecordState::kDamaged, payload, total};
+}
+
+// True if a sector between the offsets reads as zeros, which a record that was
+// written completely cannot have in its header or at its end.
+bool HasUnwrittenSector(std::string_view file, size_t begin) {
+  size_t at = begin;
+  while (at < file.size()) {
+    const size_t end =
+        std::min(file.size(), (at / kSectorBytes + 1) * kSectorBytes);
+    const std::string_view sector = file.substr(at, end - at);
+    if (std::all_of(sector.begin(), sector.end(),
+                    [](char c) { return c == 0; })) {
+      return true;
+    }
+    at = end;
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string EncodeRecord(std::string_view payload) {
+  std::string out;
+  out.reserve(kHeaderBytes + payload.size() + kMarkerBytes);
+  AppendNumber(out, static_cast<uint32_t>(payload.size()));
+  AppendNumber(out, LengthCheck(out));
+  AppendNumber(out, Checksum(payload));
+  out += payload;
+  out.push_back(kEndMarker);
+  return out;
+}
+
+Outcome<RecordScan> ScanRecords(std::string_view bytes) {
+  RecordScan scan;
+  while (scan.valid_bytes < bytes.size()) {
+    const size_t offset = scan.valid_bytes;
+    const RecordView record = ReadRecord(bytes.substr(offset));
+    if (record.state == RecordState::kWhole) {
+      scan.payloads.push_back(record.payload);
+      scan.valid_bytes += record.size;
+      continue;
+    }
+    const bool last = offset + record.size == bytes.size();
+    if (record.state == RecordState::kCutShort ||
+        (last && HasUnwrittenSector(bytes, offset))) {
+      return scan;
+    }
+    return Refusal{Reason::kCorruptData, RunState::kNotRun,
+                   "record at offset " + std::to_string(offset) +
+                       " is damaged and was synced before; rebuild this "
+                       "replica under a new id"};
+  }
+  return scan;
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/log_record_p.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "persimmonring/core.h"
+
+namespace ring {
+
+/// Frames a payload as a record of the log file:
+/// uint32 payload length | uint32 check of the length | uint64 xxh3 of the
+/// payload | payload | end marker byte.
+std::string EncodeRecord(std::string_view payload);
+
+/// Records of a log file.
+struct RecordScan {
+  std::vector<std::string_view> payloads;  ///< Point into the scanned bytes.
+  uint64_t valid_bytes = 0;  ///< A torn record, if any, begins here.
+};
+
+/// Reads all records. One record is written by each synced append, so only the
+/// last one can be torn: it is cut short, or a sector of it was never written
+/// and reads as zeros.
+/// @returns corrupt_data with the offset of a damaged record that is not a torn
+///          tail
+Outcome<RecordScan> ScanRecords(std::string_view bytes);
+
+}  // namespace ring
--- /dev/null
+++ b/src/log_replica.cc
@@ -0,0 +1,230 @@
+#include "log_replica_p.h"
+
+namespace ring {
+
+const char* ToString(ReplicaRole role) {
+  switch (role) {
+    case ReplicaRole::kFollower:
+      return "follower";
+    case ReplicaRole::kPreCandidate:
+    case ReplicaRole::kCandidate:
+      return "candidate";
+    case ReplicaRole::kLeader:
+      return "leader";
+    case ReplicaRole::kLearner:
+      return "learner";
+  }
+  return "";
+}
+
+Replica::Impl::Impl(Init init, DurableState state)
+    : init_(std::move(init)), log_(std::move(state)), rng_(init_.seed) {
+  hard_ = state.hard_state;
+  persisted_hard_ = hard_;
+  commit_ = log_.snapshot().index;
+  applied_ = commit_;
+  stable_ = log_.last_index();
+  ResetElection();
+}
+
+void Replica::Impl::Send(RaftMessage message) {
+  message.from = init_.id;
+  if (message.term == 0) {
+    message.term = hard_.term;
+  }
+  ready_.messages.push_back(std::move(message));
+}
+
+void Replica::Impl::Step(const RaftMessage& message, int64_t now_ms) {
+  RING_CHECK(!awaiting_persist_);
+  if (message.to != init_.id || message.from == init_.id ||
+      !CheckTerm(message)) {
+    return;
+  }
+  switch (message.kind) {
+    case RaftKind::kPreVote:
+    case RaftKind::kVote:
+      return HandleVoteRequest(message);
+    case RaftKind::kPreVoteReply:
+    case RaftKind::kVoteReply:
+      return HandleVoteReply(message, now_ms);
+    case RaftKind::kAppend:
+      return HandleAppend(message);
+    case RaftKind::kHeartbeat:
+      return HandleHeartbeat(message);
+    case RaftKind::kSnapshot:
+      return HandleSnapshot(message);
+    case RaftKind::kAppendReply:
+      return HandleAppendReply(message);
+    case RaftKind::kHeartbeatReply:
+      return HandleHeartbeatReply(message);
+    case RaftKind::kSnapshotReply:
+      return HandleSnapshotReply(message);
+    case RaftKind::kTimeoutNow:
+      if (IsVoter() && !is_leader()) {
+        Campaign(ReplicaRole::kCandidate, true, now_ms);
+      }
+      return;
+  }
+}
+
+bool Replica::Impl::HasReady() const {
+  return check_sends_ || ready_.snapshot || hard_ != persisted_hard_ ||
+         stable_ < log_.last_index() || !ready_.messages.empty() ||
+         applied_ < commit_ || !ready_.reads.empty() ||
+         !ready_.failed_reads.empty();
+}
+
+Ready Replica::Impl::TakeReady() {
+  RING_CHECK(!awaiting_persist_);
+  check_sends_ = false;
+  if (is_leader()) {
+    SendAppends();
+  }
+  Ready ready = std::exchange(ready_, {});
+  if (hard_ != persisted_hard_) {
+    ready.hard_state = hard_;
+  }
+  if (stable_ < log_.last_index()) {
+    ready.entries = log_.Slice(stable_ + 1, SIZE_MAX);
+  }
+  for (uint64_t index = applied_ + 1; index <= commit_; ++index) {
+    ready.committed.push_back(log_.At(index));
+  }
+  applied_ = commit_;
+  persisting_ = log_.last_index();
+  awaiting_persist_ = true;
+  return ready;
+}
+
+void Replica::Impl::Persisted() {
+  RING_CHECK(awaiting_persist_);
+  awaiting_persist_ = false;
+  persisted_hard_ = hard_;
+  stable_ = persisting_;
+  if (is_leader()) {
+    progress_[init_.id].match = stable_;
+    MaybeCommit();
+  }
+}
+
+SnapshotMeta Replica::Impl::AppliedMeta() const {
+  SnapshotMeta meta;
+  meta.index = applied_;
+  meta.term = log_.TermAt(applied_);
+  meta.time_ms = applied_ > log_.start_index() ? log_.At(applied_).time_ms
+                                               : log_.snapshot().time_ms;
+  meta.config = log_.ConfigAt(applied_);
+  return meta;
+}
+
+ReplicaStatus Replica::Impl::GetStatus() const {
+  ReplicaStatus status;
+  status.id = init_.id;
+  status.role = role_;
+  if (role_ == ReplicaRole::kFollower && !IsVoter()) {
+    status.role = ReplicaRole::kLearner;
+  }
+  status.leader = leader_;
+  status.term = hard_.term;
+  status.commit_index = commit_;
+  status.applied_index = applied_;
+  status.last_index = log_.last_index();
+  status.snapshot_index = log_.snapshot().index;
+  for (const Member& member : log_.config().members) {
+    MemberProgress row;
+    row.member = member;
+    const auto found = progress_.find(member.id);
+    if (found != progress_.end()) {
+      row.match_index = found->second.match;
+      row.silent_ticks =
+          member.id == init_.id ? 0 : tick_ - found->second.heard_tick;
+    }
+    status.members.push_back(std::move(row));
+  }
+  return status;
+}
+
+Replica::Replica(Init init, DurableState state)
+    : impl_(std::make_unique<Impl>(std::move(init), std::move(state))) {}
+Replica::~Replica() = default;
+
+void Replica::Tick(int64_t now_ms) {
+  impl_->Tick(now_ms);
+}
+
+void Replica::Step(const RaftMessage& message, int64_t now_ms) {
+  impl_->Step(message, now_ms);
+}
+
+Outcome<Proposed> Replica::Propose(std::string command, int64_t now_ms) {
+  return impl_->Propose(std::move(command), now_ms);
+}
+
+Status Replica::ReadIndex(uint64_t id) {
+  return impl_->ReadIndex(id);
+}
+
+Outcome<Proposed> Replica::AddMember(ReplicaNumber id,
+                                     const std::string& node,
+                                     int64_t now_ms) {
+  return impl_->AddMember(id, node, now_ms);
+}
+
+Outcome<Proposed> Replica::RemoveMember(ReplicaNumber id, int64_t now_ms) {
+  return impl_->RemoveMember(id, now_ms);
+}
+
+Status Replica::TransferLeader(ReplicaNumber target) {
+  return impl_->TransferLeader(target);
+}
+
+bool Replica::HasReady() const {
+  return impl_->HasReady();
+}
+
+Ready Replica::TakeReady() {
+  return impl_->TakeReady();
+}
+
+void Replica::Persisted() {
+  impl_->Persisted();
+}
+
+void Replica::Compact(const SnapshotMeta& meta, uint64_t keep_from) {
+  impl_->log().Compact(meta, keep_from);
+}
+
+SnapshotMeta Replica::AppliedMeta() const {
+  return impl_->AppliedMeta();
+}
+
+std::vector<LogEntry> Replica::EntriesAfter(uint64_t index) const {
+  return impl_->log().Slice(index + 1, SIZE_MAX);
+}
+
+uint64_t Replica::TermAt(uint64_t index) const {
+  return impl_->log().TermAt(index);
+}
+
+uint64_t Replica::start_index() const {
+  return impl_->log().start_index();
+}
+
+HardState Replica::hard_state() const {
+  return impl_->hard_state();
+}
+
+bool Replica::is_leader() const {
+  return impl_->is_leader();
+}
+
+ReplicaStatus Replica::status() const {
+  return impl_->GetStatus();
+}
+
+LogConfig Replica::config() const {
+  return impl_->log().config();
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/log_replica_election.cc
@@ -0,0 +1,249 @@
+#include <algorithm>
+
+#include "log_replica_p.h"
+
+namespace ring {
+namespace {
+
+// Context of a vote request after a leadership transfer: the receiver votes
+// although it hears a leader.
+constexpr uint64_t kForcedVote = 1;
+
+bool IsFromLeader(RaftKind kind) {
+  return kind == RaftKind::kAppend || kind == RaftKind::kHeartbeat ||
+         kind == RaftKind::kSnapshot;
+}
+
+bool IsVoteRequest(RaftKind kind) {
+  return kind == RaftKind::kVote || kind == RaftKind::kPreVote;
+}
+
+RaftKind ReplyKind(RaftKind request) {
+  return request == RaftKind::kVote ? RaftKind::kVoteReply
+                                    : RaftKind::kPreVoteReply;
+}
+
+}  // namespace
+
+bool Replica::Impl::IsVoter() const {
+  const Member* self = log_.config().Find(init_.id);
+  return self != nullptr && self->voter;
+}
+
+// While a replica hears a leader, it helps nobody to replace that leader.
+bool Replica::Impl::HasLease() const {
+  return is_leader() || (leader_ != 0 && elapsed_ < init_.election_ticks);
+}
+
+void Replica::Impl::ResetElection() {
+  elapsed_ = 0;
+  heartbeat_elapsed_ = 0;
+  timeout_ =
+      UniformMs(rng_, init_.election_ticks, int64_t{2} * init_.election_ticks);
+  votes_.clear();
+}
+
+void Replica::Impl::BecomeFollower(uint64_t term, ReplicaNumber leader) {
+  if (term > hard_.term) {
+    hard_ = {term, 0};
+  }
+  role_ = ReplicaRole::kFollower;
+  leader_ = leader;
+  transfer_target_ = 0;
+  progress_.clear();
+  for (const Read& read : reads_) {
+    ready_.failed_reads.push_back(read.id);
+  }
+  reads_.clear();
+  ready_.failed_reads.insert(ready_.failed_reads.end(), waiting_reads_.begin(),
+                             waiting_reads_.end());
+  waiting_reads_.clear();
+  ResetElection();
+}
+
+void Replica::Impl::Campaign(ReplicaRole role, bool forced, int64_t now_ms) {
+  ResetElection();
+  role_ = role;
+  leader_ = 0;
+  const bool pre = role == ReplicaRole::kPreCandidate;
+  if (!pre) {
+    hard_ = {hard_.term + 1, init_.id};
+  }
+  votes_[init_.id] = true;
+  for (const Member& member : log_.config().members) {
+    if (!member.voter || member.id == init_.id) {
+      continue;
+    }
+    RaftMessage request;
+    request.kind = pre ? RaftKind::kPreVote : RaftKind::kVote;
+    request.to = member.id;
+    request.term = pre ? hard_.term + 1 : hard_.term;
+    request.index = log_.last_index();
+    request.log_term = log_.last_term();
+    request.context = forced ? kForcedVote : 0;
+    Send(std::move(request));
+  }
+  CountVotes(now_ms);
+}
+
+void Replica::Impl::CountVotes(int64_t now_ms) {
+  size_t granted = 0;
+  size_t refused = 0;
+  for (const Member& member : log_.config().members) {
+    const auto vote = votes_.find(member.id);
+    if (member.voter && vote != votes_.end()) {
+      granted += vote->second ? 1 : 0;
+      refused += vote->second ? 0 : 1;
+    }
+  }
+  if (granted >= Quorum()) {
+    if (role_ == ReplicaRole::kPreCandidate) {
+      Campaign(ReplicaRole::kCandidate, false, now_ms);
+    } else {
+      BecomeLeader(now_ms);
+    }
+  } else if (refused > log_.config().voter_count() - Quorum()) {
+    BecomeFollower(hard_.term, 0);
+  }
+}
+
+void Replica::Impl::BecomeLeader(int64_t now_ms) {
+  ResetElection();
+  role_ = ReplicaRole::kLeader;
+  leader_ = init_.id;
+  read_round_ = 0;
+  progress_.clear();
+  SyncProgress();
+  progress_[init_.id].match = stable_;
+  // Entries of earlier terms commit only together with one of this term.
+  AppendOwn(EntryKind::kEmpty, "", now_ms);
+  BroadcastHeartbeat();
+}
+
+// Returns false if the message must not be handled further.
+bool Replica::Impl::CheckTerm(const RaftMessage& message) {
+  if (message.term < hard_.term) {
+    RefuseOldTerm(message);
+    return false;
+  }
+  if (message.term == hard_.term) {
+    return true;
+  }
+  if (IsVoteRequest(message.kind)) {
+    if (HasLease() && message.context != kForcedVote) {
+      return false;
+    }
+    if (message.kind == RaftKind::kPreVote) {
+      return true;
+    }
+  }
+  if (message.kind == RaftKind::kPreVoteReply && !message.reject) {
+    return true;
+  }
+  BecomeFollower(message.term, IsFromLeader(message.kind) ? message.from : 0);
+  return true;
+}
+
+// Tells the sender the current term, so that an old leader steps down and a
+// replica that was away catches up with the term.
+void Replica::Impl::RefuseOldTerm(const RaftMessage& message) {
+  RaftMessage reply;
+  reply.to = message.from;
+  reply.reject = true;
+  if (IsFromLeader(message.kind)) {
+    reply.kind = RaftKind::kAppendReply;
+    Send(std::move(reply));
+  } else if (IsVoteRequest(message.kind)) {
+    reply.kind = ReplyKind(message.kind);
+    Send(std::move(reply));
+  }
+}
+
+void Replica::Impl::HandleVoteRequest(const RaftMessage& message) {
+  const bool pre = message.kind == RaftKind::kPreVote;
+  const bool free = hard_.voted_for == message.from ||
+                    (hard_.voted_for == 0 && leader_ == 0) ||
+                    (pre && message.term > hard_.term);
+  const bool up_to_date = message.log_term > log_.last_term() ||
+                          (message.log_term == log_.last_term() &&
+                           message.index >= log_.last_index());
+  // A replica without any entry has joined and heard no leader yet; it may also
+  // have lost its disk, so its vote must not decide an election.
+  const bool grant = free && up_to_date && log_.last_index() > 0;
+  RaftMessage reply;
+  reply.kind = ReplyKind(message.kind);
+  reply.to = message.from;
+  reply.term = grant ? message.term : hard_.term;
+  reply.reject = !grant;
+  if (grant && !pre) {
+    hard_.voted_for = message.from;
+    elapsed_ = 0;
+  }
+  Send(std::move(reply));
+}
+
+void Replica::Impl::HandleVoteReply(const RaftMessage& message,
+                                    int64_t now_ms) {
+  const RaftKind expected = role_ == ReplicaRole::kPreCandidate
+                                ? RaftKind::kPreVoteReply
+                                : RaftKind::kVoteReply;
+  if ((role_ != ReplicaRole::kPreCandidate &&
+       role_ != ReplicaRole::kCandidate) ||
+      message.kind != expected) {
+    return;
+  }
+  // A granted pre-vote names the term that the candidate would have.
+  if (role_ == ReplicaRole::kPreCandidate && !message.reject &&
+      message.term != hard_.term + 1) {
+    return;
+  }
+  votes_.emplace(message.from, !message.reject);
+  CountVotes(now_ms);
+}
+
+void Replica::Impl::Tick(int64_t now_ms) {
+  RING_CHECK(!awaiting_persist_);
+  ++tick_;
+  ++elapsed_;
+  if (is_leader()) {
+    TickLeader(now_ms);
+    return;
+  }
+  if (elapsed_ >= timeout_ && IsVoter()) {
+    Campaign(ReplicaRole::kPreCandidate, false, now_ms);
+  }
+}
+
+void Replica::Impl::TickLeader(int64_t now_ms) {
+  if (transfer_target_ != 0 && ++transfer_elapsed_ >= init_.election_ticks) {
+    transfer_target_ = 0;
+  }
+  if (elapsed_ >= init_.election_ticks) {
+    elapsed_ = 0;
+    CheckQuorum();
+    if (!is_leader()) {
+      return;
+    }
+  }
+  if (++heartbeat_elapsed_ >= init_.heartbeat_ticks) {
+    heartbeat_elapsed_ = 0;
+    BroadcastHeartbeat();
+    PromoteLearners(now_ms);
+  }
+}
+
+void Replica::Impl::CheckQuorum() {
+  size_t active = 0;
+  for (const Member& member : log_.config().members) {
+    Progress& progress = progress_[member.id];
+    if (member.voter && (member.id == init_.id || progress.active)) {
+      ++active;
+    }
+    progress.active = false;
+  }
+  if (active < Quorum()) {
+    BecomeFollower(hard_.term, 0);
+  }
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/log_replica_follower.cc
@@ -0,0 +1,141 @@
+#include <algorithm>
+
+#include "log_replica_p.h"
+
+namespace ring {
+namespace {
+
+bool IsContiguous(const RaftMessage& message) {
+  uint64_t next = message.index + 1;
+  for (const LogEntry& entry : message.entries) {
+    if (entry.index != next || entry.term > message.term) {
+      return false;
+    }
+    ++next;
+  }
+  return true;
+}
+
+}  // namespace
+
+void Replica::Impl::ReplyAppended(ReplicaNumber to, uint64_t index) {
+  RaftMessage reply;
+  reply.kind = RaftKind::kAppendReply;
+  reply.to = to;
+  reply.index = index;
+  Send(std::move(reply));
+}
+
+void Replica::Impl::HandleAppend(const RaftMessage& message) {
+  if (role_ != ReplicaRole::kFollower) {
+    // Two leaders in one term are impossible.
+    RING_CHECK(!is_leader());
+    BecomeFollower(message.term, message.from);
+  }
+  leader_ = message.from;
+  elapsed_ = 0;
+  if (message.index < commit_) {
+    return ReplyAppended(message.from, commit_);
+  }
+  if (!log_.Holds(message.index) ||
+      log_.TermAt(message.index) != message.log_term ||
+      !IsContiguous(message)) {
+    return RejectAppend(message);
+  }
+  for (const LogEntry& entry : message.entries) {
+    if (log_.TermAt(entry.index) == entry.term) {
+      continue;
+    }
+    if (entry.index <= log_.last_index()) {
+      RING_CHECK(entry.index > commit_);
+      log_.TruncateFrom(entry.index);
+      stable_ = std::min(stable_, entry.index - 1);
+    }
+    log_.Append(entry);
+  }
+  const uint64_t last = message.index + message.entries.size();
+  commit_ = std::max(commit_, std::min(message.commit, last));
+  ReplyAppended(message.from, last);
+}
+
+// The hint skips all entries of terms that the leader's log cannot have at this
+// place, so that one reply passes over a whole term.
+void Replica::Impl::RejectAppend(const RaftMessage& message) {
+  RaftMessage reply;
+  reply.kind = RaftKind::kAppendReply;
+  reply.to = message.from;
+  reply.index = message.index;
+  reply.reject = true;
+  reply.reject_hint = log_.FindConflict(message.index, message.log_term);
+  reply.log_term = log_.TermAt(reply.reject_hint);
+  Send(std::move(reply));
+}
+
+void Replica::Impl::HandleHeartbeat(const RaftMessage& message) {
+  if (role_ != ReplicaRole::kFollower) {
+    RING_CHECK(!is_leader());
+    BecomeFollower(message.term, message.from);
+  }
+  leader_ = message.from;
+  elapsed_ = 0;
+  commit_ = std::max(commit_, std::min(message.commit, log_.last_index()));
+  RaftMessage reply;
+  reply.kind = RaftKind::kHeartbeatReply;
+  reply.to = message.from;
+  reply.context = message.context;
+  Send(std::move(reply));
+}
+
+void Replica::Impl::HandleSnapshot(const RaftMessage& message) {
+  if (role_ != ReplicaRole::kFollower) {
+    RING_CHECK(!is_leader());
+    BecomeFollower(message.term, message.from);
+  }
+  leader_ = message.from;
+  elapsed_ = 0;
+  if (message.index <= commit_) {
+    incoming_.reset();
+    return ReplyAppended(message.from, commit_);
+  }
+  if (message.snapshot_offset == 0) {
+    incoming_ = Snapshot{};
+    incoming_->meta.index = message.index;
+    incoming_from_ = message.from;
+  }
+  const bool expected = incoming_ && incoming_from_ == message.from &&
+                        incoming_->meta.index == message.index;
+  const uint64_t have = expected ? incoming_->data.size() : 0;
+  if (expected && message.snapshot_offset == have) {
+    incoming_->data += message.snapshot_data;
+    if (incoming_->data.size() == message.snapshot_total) {
+      return InstallSnapshot(message);
+    }
+  }
+  RaftMessage reply;
+  reply.kind = RaftKind::kSnapshotReply;
+  reply.to = message.from;
+  reply.index = message.index;
+  reply.snapshot_offset = expected ? incoming_->data.size() : 0;
+  Send(std::move(reply));
+}
+
+void Replica::Impl::InstallSnapshot(const RaftMessage& message) {
+  Snapshot snapshot = std::move(*incoming_);
+  incoming_.reset();
+  snapshot.meta = {message.index, message.log_term, message.snapshot_time_ms,
+                   message.snapshot_config};
+  if (log_.Holds(message.index) &&
+      log_.TermAt(message.index) == message.log_term) {
+    // The entries are here already; only the commit index was behind.
+    commit_ = message.index;
+    return ReplyAppended(message.from, message.index);
+  }
+  log_.Reset(snapshot.meta);
+  commit_ = message.index;
+  applied_ = message.index;
+  stable_ = message.index;
+  ready_.snapshot = std::move(snapshot);
+  ReplyAppended(message.from, message.index);
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/log_replica_p.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "log_raft_log_p.h"
+#include "persimmonring/log.h"
+
+namespace ring {
+
+enum class SendState : uint8_t {
+  kProbe,      ///< One append at a time until the match index is known.
+  kReplicate,  ///< Appends are sent ahead of their replies.
+  kSnapshot,   ///< Chunks of a snapshot are sent.
+};
+
+/// What a leader knows about one member.
+struct Progress {
+  uint64_t match = 0;  ///< Highest index known to be synced there.
+  uint64_t next = 1;
+  SendState state = SendState::kProbe;
+  bool probe_sent = false;
+  bool poke = false;  ///< Send an append even if there is nothing new.
+  std::vector<uint64_t> inflight;  ///< Last indexes of unanswered appends.
+  uint64_t sent_commit = 0;
+  uint64_t read_round = 0;
+  bool active = false;  ///< Heard since the last quorum check.
+  int64_t heard_tick = 0;
+  std::shared_ptr<const Snapshot> snapshot;
+  uint64_t snapshot_offset = 0;
+  bool chunk_due = false;
+  int64_t chunk_tick = 0;
+  uint64_t catch_up_target = 0;  ///< Commit index at the start of the round.
+  int64_t catch_up_tick = 0;
+};
+
+class Replica::Impl {
+ public:
+  Impl(Init init, DurableState state);
+
+  void Tick(int64_t now_ms);
+  void Step(const RaftMessage& message, int64_t now_ms);
+  Outcome<Proposed> Propose(std::string command, int64_t now_ms);
+  Status ReadIndex(uint64_t id);
+  Outcome<Proposed> AddMember(ReplicaNumber id,
+                              const std::string& node,
+                              int64_t now_ms);
+  Outcome<Proposed> RemoveMember(ReplicaNumber id, int64_t now_ms);
+  Status TransferLeader(ReplicaNumber target);
+  bool HasReady() const;
+  Ready TakeReady();
+  void Persisted();
+  ReplicaStatus GetStatus() const;
+  SnapshotMeta AppliedMeta() const;
+
+  RaftLog& log() { return log_; }
+  HardState hard_state() const { return hard_; }
+  bool is_leader() const { return role_ == ReplicaRole::kLeader; }
+
+ private:
+  struct Read {
+    uint64_t id = 0;
+    uint64_t round = 0;
+  };
+
+  // Roles and elections (log_replica_election.cc).
+  bool IsVoter() const;
+  bool HasLease() const;
+  size_t Quorum() const { return log_.config().voter_count() / 2 + 1; }
+  void ResetElection();
+  void BecomeFollower(uint64_t term, ReplicaNumber leader);
+  void BecomeLeader(int64_t now_ms);
+  void Campaign(ReplicaRole role, bool forced, int64_t now_ms);
+  void CountVotes(int64_t now_ms);
+  bool CheckTerm(const RaftMessage& message);
+  void RefuseOldTerm(const RaftMessage& message);
+  void HandleVoteRequest(const RaftMessage& message);
+  void HandleVoteReply(const RaftMessage& message, int64_t now_ms);
+  void TickLeader(int64_t now_ms);
+  void CheckQuorum();
+
+  // Followers (log_replica_follower.cc).
+  void HandleAppend(const RaftMessage& message);
+  void RejectAppend(const RaftMessage& message);
+  void HandleHeartbeat(const RaftMessage& message);
+  void HandleSnapshot(const RaftMessage& message);
+  void InstallSnapshot(const RaftMessage& message);
+  void ReplyAppended(ReplicaNumber to, uint64_t index);
+
+  // Leaders (log_replica_leader.cc).
+  uint64_t AppendOwn(EntryKind kind, std::string data, int64_t now_ms);
+  void HandleAppendReply(const RaftMessage& message);
+  void HandleRejectedAppend(Progress& progress, const RaftMessage& message);
+  void HandleHeartbeatReply(const RaftMessage& message);
+  void HandleSnapshotReply(const RaftMessage& message);
+  Progress* Hear(const RaftMessage& message);
+  void MaybeCommit();
+  void BroadcastHeartbeat();
+  void SendAppends();
+  void SendAppendsTo(ReplicaNumber id, Progress& progress);
+  void SendAppend(ReplicaNumber id, Progress& progress);
+  void StartSnapshot(ReplicaNumber id, Progress& progress);
+  void SendChunk(ReplicaNumber id, Progress& progress);
+  void StartReads();
+  void ConfirmReads();
+  void FinishTransfer();
+
+  // Membership (log_replica_members.cc).
+  Status CheckChange() const;
+  Outcome<Proposed> ProposeConfig(LogConfig config, int64_t now_ms);
+  void SyncProgress();
+  void PromoteLearners(int64_t now_ms);
+
+  void Send(RaftMessage message);
+
+  const Init init_;
+  RaftLog log_;
+  Rng rng_;
+  HardState hard_;
+  HardState persisted_hard_;
+  uint64_t commit_ = 0;
+  uint64_t applied_ = 0;
+  uint64_t stable_ = 0;  // Last entry that is synced here.
+  bool awaiting_persist_ = false;
+  uint64_t persisting_ = 0;
+
+  ReplicaRole role_ = ReplicaRole::kFollower;  // Learners are followers here.
+  ReplicaNumber leader_ = 0;
+  int64_t tick_ = 0;
+  int64_t elapsed_ = 0;
+  int64_t timeout_ = 0;
+  int64_t heartbeat_elapsed_ = 0;
+  std::map<ReplicaNumber, bool> votes_;
+  std::map<ReplicaNumber, Progress> progress_;
+  ReplicaNumber transfer_target_ = 0;
+  int64_t transfer_elapsed_ = 0;
+
+  uint64_t read_round_ = 0;
+  std::vector<uint64_t> waiting_reads_;  // No entry of this term committed yet.
+  std::vector<Read> reads_;
+
+  std::optional<Snapshot> incoming_;
+  ReplicaNumber incoming_from_ = 0;
+
+  bool check_sends_ = false;  // A reply may have made an append possible.
+  Ready ready_;
+};
+
+}  // namespace ring
--- /dev/null
+++ b/src/log_wal.cc
@@ -0,0 +1,332 @@
+#include "persimmonring/log.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "log_codec_p.h"
+#include "log_record_p.h"
+
+namespace ring {
+namespace {
+
+constexpr char kIdentityFile[] = "identity.json";
+constexpr char kLogFile[] = "log";
+constexpr char kSnapshotFile[] = "snapshot";
+// The first entries of a group share this position on all initial members.
+constexpr uint64_t kInitialIndex = 1;
+
+Refusal Corrupt(const std::string& text) {
+  return {Reason::kCorruptData, RunState::kNotRun, text};
+}
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+std::string Describe(const WalIdentity& identity) {
+  return "replica " + std::to_string(identity.replica) + " of group '" +
+         identity.group + "' of ring '" + identity.ring + "'";
+}
+
+std::string EncodeIdentity(const WalIdentity& identity) {
+  return nlohmann::json{{"format", 1},
+                        {"ring", identity.ring},
+                        {"group", identity.group},
+                        {"replica", identity.replica}}
+             .dump() +
+         "\n";
+}
+
+Outcome<WalIdentity> ReadIdentity(DiskI& disk) {
+  const auto bytes = disk.Read(kIdentityFile);
+  if (!bytes) {
+    return bytes.refusal();
+  }
+  try {
+    const auto json = nlohmann::json::parse(*bytes);
+    return WalIdentity{json.at("ring"), json.at("group"), json.at("replica")};
+  } catch (const nlohmann::json::exception&) {
+    return Corrupt(std::string(kIdentityFile) + " cannot be decoded");
+  }
+}
+
+Status CheckIdentity(DiskI& disk, const WalIdentity& expected) {
+  const auto found = ReadIdentity(disk);
+  if (!found) {
+    return found.refusal();
+  }
+  if (*found != expected) {
+    return Corrupt("the folder belongs to " + Describe(*found) + ", not to " +
+                   Describe(expected));
+  }
+  return Done{};
+}
+
+std::string EncodeSnapshot(const Snapshot& snapshot) {
+  return EncodeRecord(EncodeSnapshotMeta(snapshot.meta)) +
+         EncodeRecord(snapshot.data);
+}
+
+Outcome<Snapshot> DecodeSnapshot(std::string_view bytes) {
+  constexpr size_t kRecords = 2;
+  const auto scan = ScanRecords(bytes);
+  if (!scan || scan->payloads.size() != kRecords ||
+      scan->valid_bytes != bytes.size()) {
+    return Corrupt("the snapshot file is damaged");
+  }
+  auto meta = DecodeSnapshotMeta(scan->payloads[0]);
+  if (!meta) {
+    return meta.refusal();
+  }
+  return Snapshot{*meta, std::string(scan->payloads[1])};
+}
+
+std::string EncodeLogStart(const HardState& hard_state,
+                           uint64_t start_index,
+                           uint64_t start_term,
+                           const std::vector<LogEntry>& entries) {
+  WalBatch batch;
+  batch.start = true;
+  batch.start_index = start_index;
+  batch.start_term = start_term;
+  batch.hard_state = hard_state;
+  batch.entries = entries;
+  return EncodeRecord(EncodeWalBatch(batch));
+}
+
+// Puts the entries of a record into the log; they replace those with the same
+// and higher indexes.
+Status TakeEntries(DurableState& state, std::vector<LogEntry> entries) {
+  for (LogEntry& entry : entries) {
+    const uint64_t next = state.start_index + state.entries.size() + 1;
+    if (entry.index <= state.start_index || entry.index > next) {
+      return Corrupt("log record with entry " + std::to_string(entry.index) +
+                     " does not follow entry " + std::to_string(next - 1));
+    }
+    state.entries.resize(entry.index - state.start_index - 1);
+    state.entries.push_back(std::move(entry));
+  }
+  return Done{};
+}
+
+Status ReplayLog(const RecordScan& scan, DurableState& state) {
+  bool first = true;
+  for (const std::string_view payload : scan.payloads) {
+    auto batch = DecodeWalBatch(payload);
+    if (!batch) {
+      return batch.refusal();
+    }
+    if (batch->start != first) {
+      return Corrupt("the log file does not begin with its start record");
+    }
+    if (first) {
+      state.start_index = batch->start_index;
+      state.start_term = batch->start_term;
+    }
+    first = false;
+    if (batch->hard_state) {
+      state.hard_state = *batch->hard_state;
+    }
+    if (Status status = TakeEntries(state, std::move(batch->entries));
+        !status) {
+      return status;
+    }
+  }
+  // The file is created by an atomic replacement with its first record.
+  return first ? Status(Corrupt("the log file is empty")) : Status(Done{});
+}
+
+// Drops a log that the snapshot has overtaken: a snapshot from the leader is
+// saved before the log is replaced, and the process may end between the two.
+Status JoinSnapshot(DurableState& state) {
+  const SnapshotMeta& snapshot = state.snapshot;
+  const uint64_t last = state.start_index + state.entries.size();
+  const bool at_start = snapshot.index == state.start_index;
+  const bool holds_index =
+      snapshot.index > state.start_index && snapshot.index <= last;
+  const uint64_t term =
+      at_start      ? state.start_term
+      : holds_index ? state.entries[snapshot.index - state.start_index - 1].term
+                    : 0;
+  if ((at_start || holds_index) && term == snapshot.term) {
+    return Done{};
+  }
+  if (snapshot.index < state.start_index) {
+    return Corrupt("the snapshot ends at entry " +
+                   std::to_string(snapshot.index) + ", but the log begins at " +
+                   std::to_string(state.start_index + 1));
+  }
+  state.start_index = snapshot.index;
+  state.start_term = snapshot.term;
+  state.entries.clear();
+  return Done{};
+}
+
+// A folder that an interrupted Initialize left holds no votes and no entries.
+Status CheckUnused(DiskI& disk, const std::vector<std::string>& names) {
+  for (const std::string& name : names) {
+    if (name.ends_with(".tmp") || name == kSnapshotFile) {
+      continue;
+    }
+    if (name != kLogFile) {
+      return Corrupt("the folder holds the unknown file " + name);
+    }
+    DurableState state;
+    const auto bytes = disk.Read(kLogFile);
+    if (!bytes) {
+      return bytes.refusal();
+    }
+    const auto scan = ScanRecords(*bytes);
+    if (!scan || !ReplayLog(*scan, state) || state.hard_state.term > 1 ||
+        state.hard_state.voted_for != 0 || !state.entries.empty()) {
+      return Corrupt("the folder holds a log but no " +
+                     std::string(kIdentityFile));
+    }
+  }
+  return Done{};
+}
+
+}  // namespace
+
+Status Wal::Initialize(DiskI& disk,
+                       const WalIdentity& identity,
+                       const std::vector<Member>& initial_members) {
+  const auto names = disk.List();
+  if (!names) {
+    return names.refusal();
+  }
+  if (Contains(*names, kIdentityFile)) {
+    return CheckIdentity(disk, identity);
+  }
+  if (Status status = CheckUnused(disk, *names); !status) {
+    return status;
+  }
+  SnapshotMeta meta;
+  if (!initial_members.empty()) {
+    meta = {kInitialIndex, kInitialIndex, 0, {initial_members}};
+  }
+  Status status = disk.Replace(kSnapshotFile, EncodeSnapshot({meta, ""}));
+  if (status) {
+    status = disk.Replace(
+        kLogFile, EncodeLogStart({meta.term, 0}, meta.index, meta.term, {}));
+  }
+  // The identity comes last: without it the folder counts as empty.
+  return status ? disk.Replace(kIdentityFile, EncodeIdentity(identity))
+                : status;
+}
+
+Outcome<std::unique_ptr<Wal>> Wal::Open(DiskI& disk, const Init& init) {
+  const auto names = disk.List();
+  if (!names) {
+    return names.refusal();
+  }
+  if (!Contains(*names, kIdentityFile)) {
+    return Corrupt(
+        "the folder holds no " + std::string(kIdentityFile) + " for " +
+        Describe(init.identity) +
+        "; initialize a new replica first, and never one whose data was lost: "
+        "remove its id from the group and add a new id");
+  }
+  if (Status status = CheckIdentity(disk, init.identity); !status) {
+    return status.refusal();
+  }
+  std::unique_ptr<Wal> wal(new Wal(disk));
+  if (Status status = wal->Recover(); !status) {
+    return status.refusal();
+  }
+  if (!init.read_only) {
+    if (Status status = wal->RewriteLog(wal->recovered_); !status) {
+      return status.refusal();
+    }
+  }
+  return wal;
+}
+
+Status Wal::Recover() {
+  const auto snapshot = LoadSnapshot();
+  if (!snapshot) {
+    return snapshot.refusal();
+  }
+  recovered_.snapshot = snapshot->meta;
+  const auto bytes = disk_.Read(kLogFile);
+  if (!bytes) {
+    return bytes.refusal();
+  }
+  const auto scan = ScanRecords(*bytes);
+  if (!scan) {
+    Refusal refusal = scan.refusal();
+    refusal.message = "log file: " + refusal.message;
+    return refusal;
+  }
+  cut_bytes_ = bytes->size() - scan->valid_bytes;
+  log_bytes_ = scan->valid_bytes;
+  if (Status status = ReplayLog(*scan, recovered_); !status) {
+    return status;
+  }
+  return JoinSnapshot(recovered_);
+}
+
+Status Wal::RewriteLog(const DurableState& state) {
+  const std::string bytes = EncodeLogStart(state.hard_state, state.start_index,
+                                           state.start_term, state.entries);
+  Status status = disk_.Replace(kLogFile, bytes);
+  failed_ = !status.ok();
+  log_bytes_ = bytes.size();
+  return status;
+}
+
+Status Wal::CheckUsable() const {
+  if (failed_) {
+    return Refusal{Reason::kStorageFailed, RunState::kNotRun,
+                   "an earlier write failed; the store must be opened again"};
+  }
+  return Done{};
+}
+
+Status Wal::Append(const std::optional<HardState>& hard_state,
+                   const std::vector<LogEntry>& entries) {
+  Status status = CheckUsable();
+  if (!status) {
+    return status;
+  }
+  WalBatch batch;
+  batch.hard_state = hard_state;
+  batch.entries = entries;
+  const std::string record = EncodeRecord(EncodeWalBatch(batch));
+  status = disk_.Append(kLogFile, record);
+  if (status) {
+    status = disk_.Sync(kLogFile);
+  }
+  failed_ = !status.ok();
+  log_bytes_ += record.size();
+  return status;
+}
+
+Status Wal::SaveSnapshot(const Snapshot& snapshot,
+                         const HardState& hard_state,
+                         uint64_t start_index,
+                         uint64_t start_term,
+                         const std::vector<LogEntry>& entries) {
+  Status status = CheckUsable();
+  if (!status) {
+    return status;
+  }
+  status = disk_.Replace(kSnapshotFile, EncodeSnapshot(snapshot));
+  if (!status) {
+    failed_ = true;
+    return status;
+  }
+  return RewriteLog(
+      {hard_state, snapshot.meta, start_index, start_term, entries});
+}
+
+Outcome<Snapshot> Wal::LoadSnapshot() const {
+  const auto bytes = disk_.Read(kSnapshotFile);
+  if (!bytes) {
+    return bytes.refusal();
+  }
+  return DecodeSnapshot(*bytes);
+}
+
+}  // namespace ring
