Add the keeper host: a thread for each group with group commit

Entries and operators reach a replicated group through a keeper process.

Each group has one thread that drains its bounded ring, steps the replica, appends everything that waits with one sync, then sends, applies and answers.

--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -242,6 +242,10 @@
   auto operator<=>(const RaftMessage&) const = default;
 };
 
+/// Contents of a snapshot file; also the result of a backup.
+std::string EncodeSnapshotFile(const Snapshot& snapshot);
+/// @returns corrupt_data if a checksum does not match
+Outcome<Snapshot> DecodeSnapshotFile(std::string_view bytes);
 std::string EncodeRaftMessage(const RaftMessage& message);
 /// @returns corrupt_data if the bytes are not a valid message
 Outcome<RaftMessage> DecodeRaftMessage(std::string_view bytes);
--- /dev/null
+++ b/src/keeper_group.cc
@@ -0,0 +1,346 @@
+#include "keeper_group_p.h"
+
+#include <algorithm>
+
+namespace ring {
+namespace {
+
+// Raft messages beyond this wait for their resend; requests have a bound of
+// their own.
+constexpr size_t kMaxWaitingMessages = 4'096;
+// A log of this size is compacted even if it has few entries, because it is
+// held in memory as well.
+constexpr uint64_t kMaxLogBytes = 64u << 20;
+// Entries kept behind a snapshot, as a share of the snapshot threshold, so that
+// a member that lags a little needs no snapshot.
+constexpr uint64_t kKeptShare = 4;
+constexpr int64_t kSecondMs = 1'000;
+
+}  // namespace
+
+GroupHost::GroupHost(Init init,
+                     std::unique_ptr<DiskI> disk,
+                     GroupOutletI& outlet,
+                     const ClockI& clock)
+    : init_(std::move(init)),
+      disk_(std::move(disk)),
+      outlet_(outlet),
+      clock_(clock),
+      inbox_(init_.max_pending + kMaxWaitingMessages) {}
+
+Status GroupHost::Initialize() {
+  return Wal::Initialize(*disk_, init_.identity, init_.initial_members);
+}
+
+Status GroupHost::Open() {
+  replica_.reset();
+  wal_.reset();
+  auto wal = Wal::Open(*disk_, {.identity = init_.identity});
+  if (!wal) {
+    return wal.refusal();
+  }
+  wal_ = std::move(*wal);
+  machine_ = init_.create_machine();
+  const auto snapshot = wal_->LoadSnapshot();
+  if (!snapshot) {
+    return snapshot.refusal();
+  }
+  if (!snapshot->data.empty()) {
+    if (Status status = machine_->Load(snapshot->data); !status) {
+      return status;
+    }
+  }
+  Replica::Init replica;
+  replica.id = init_.identity.replica;
+  replica.heartbeat_ticks = init_.heartbeat_ticks;
+  replica.election_ticks = init_.election_ticks;
+  replica.seed = init_.seed;
+  replica.load_snapshot = [this]() -> std::shared_ptr<const Snapshot> {
+    auto loaded = wal_->LoadSnapshot();
+    return loaded ? std::make_shared<const Snapshot>(std::move(*loaded))
+                  : nullptr;
+  };
+  Event(LogLevel::kInfo, "group_opened")
+      .Add("group", name())
+      .Add("replica", init_.identity.replica)
+      .Add("term", wal_->recovered().hard_state.term)
+      .Add("snapshot_index", snapshot->meta.index)
+      .Add("entries", uint64_t{wal_->recovered().entries.size()})
+      .Add("cut_bytes", wal_->cut_bytes());
+  replica_ = std::make_unique<Replica>(std::move(replica), wal_->recovered());
+  wal_->DropRecovered();
+  return Done{};
+}
+
+bool GroupHost::TryPush(GroupInput&& input) {
+  const bool request = input.kind == GroupInput::Kind::kRequest;
+  if (request && waiting_requests_.load() >= init_.max_pending) {
+    return false;
+  }
+  if (!inbox_.TryPush(std::move(input))) {
+    return false;
+  }
+  if (request) {
+    waiting_requests_.fetch_add(1);
+  }
+  return true;
+}
+
+Status GroupHost::Run(const StopToken& stop) {
+  if (!replica_) {
+    if (Status status = Open(); !status) {
+      return status;
+    }
+  }
+  next_tick_ms_ = clock_.NowMs() + init_.tick_ms;
+  Status status = Done{};
+  while (status && !stop.stopped()) {
+    const int64_t wait_ms =
+        std::clamp<int64_t>(next_tick_ms_ - clock_.NowMs(), 0, init_.tick_ms);
+    status = Pass(inbox_.PopAll(wait_ms));
+  }
+  FailPending(status ? "the keeper stops" : status.refusal().message);
+  has_leader_ = false;
+  leads_ = false;
+  if (!status) {
+    metrics::Count("ring_log_failures_total", {{"group", name()}});
+    replica_.reset();
+  }
+  return status;
+}
+
+// All inputs that wait are taken in before the log is synced once.
+Status GroupHost::Pass(std::deque<GroupInput> inputs) {
+  TickIfDue();
+  for (GroupInput& input : inputs) {
+    switch (input.kind) {
+      case GroupInput::Kind::kRaft:
+        HandleRaft(input);
+        break;
+      case GroupInput::Kind::kRequest:
+        HandleRequest(input);
+        break;
+      case GroupInput::Kind::kHandOver:
+        replica_->TransferLeader(0);
+        break;
+    }
+  }
+  StartQueries();
+  while (replica_->HasReady()) {
+    if (Status status = ProcessReady(); !status) {
+      return status;
+    }
+  }
+  return SnapshotIfDue();
+}
+
+void GroupHost::TickIfDue() {
+  const int64_t now_ms = clock_.NowMs();
+  if (now_ms < next_tick_ms_) {
+    return;
+  }
+  // After a pause one tick counts: messages that arrived meanwhile come first.
+  next_tick_ms_ =
+      std::max(next_tick_ms_ + init_.tick_ms, now_ms + init_.tick_ms / 2);
+  replica_->Tick(clock_.WallMs());
+  if (now_ms >= next_second_ms_) {
+    next_second_ms_ = now_ms + kSecondMs;
+    ProposeExpire(clock_.WallMs());
+    ForwardVersions();
+  }
+}
+
+void GroupHost::ProposeExpire(int64_t now_ms) {
+  if (name() == kControlGroup || !replica_->is_leader() ||
+      expire_index_ > replica_->AppliedMeta().index) {
+    return;
+  }
+  const auto proposed =
+      replica_->Propose(program_codec::EncodeExpire(), now_ms);
+  if (proposed) {
+    expire_index_ = proposed->index;
+  }
+}
+
+Status GroupHost::ProcessReady() {
+  Ready ready = replica_->TakeReady();
+  if (Status status = Persist(ready); !status) {
+    Event(LogLevel::kError, "store_failed")
+        .Add("group", name())
+        .Add("reason", status.refusal().reason)
+        .Add("detail", status.refusal().message);
+    return status;
+  }
+  replica_->Persisted();
+  SendMessages(ready.messages);
+  Apply(ready.committed);
+  AnswerReads(ready);
+  NoteLeader();
+  return Done{};
+}
+
+Status GroupHost::Persist(Ready& ready) {
+  if (ready.snapshot) {
+    if (Status status = InstallSnapshot(*ready.snapshot); !status) {
+      return status;
+    }
+  }
+  if (!ready.hard_state && ready.entries.empty()) {
+    return Done{};
+  }
+  const int64_t start_ms = clock_.NowMs();
+  Status status = wal_->Append(ready.hard_state, ready.entries);
+  const Labels labels = {{"group", name()}};
+  metrics::ObserveMs("ring_log_sync_ms", labels,
+                     static_cast<double>(clock_.NowMs() - start_ms));
+  metrics::Count("ring_log_syncs_total", labels);
+  metrics::Count("ring_log_entries_total", labels,
+                 static_cast<double>(ready.entries.size()));
+  return status;
+}
+
+Status GroupHost::InstallSnapshot(const Snapshot& snapshot) {
+  Status status =
+      wal_->SaveSnapshot(snapshot, replica_->hard_state(), snapshot.meta.index,
+                         snapshot.meta.term, {});
+  if (!status) {
+    return status;
+  }
+  machine_ = init_.create_machine();
+  if (!snapshot.data.empty()) {
+    status = machine_->Load(snapshot.data);
+  }
+  FailPending("a snapshot replaced the log");
+  Event(LogLevel::kInfo, "snapshot_installed")
+      .Add("group", name())
+      .Add("index", snapshot.meta.index)
+      .Add("bytes", uint64_t{snapshot.data.size()});
+  return status;
+}
+
+std::string GroupHost::NodeOf(ReplicaNumber id) const {
+  const LogConfig config = replica_->config();
+  if (const Member* member = config.Find(id)) {
+    return member->node;
+  }
+  // A replica that joins has no config yet, but knows who wrote to it.
+  const auto known = nodes_.find(id);
+  return known == nodes_.end() ? std::string() : known->second;
+}
+
+void GroupHost::SendMessages(const std::vector<RaftMessage>& messages) {
+  for (const RaftMessage& message : messages) {
+    const std::string node = NodeOf(message.to);
+    if (!node.empty()) {
+      outlet_.SendToNode(node, {.kind = FrameKind::Raft,
+                                .group = name(),
+                                .payload = EncodeRaftMessage(message)});
+    }
+  }
+}
+
+void GroupHost::Apply(const std::vector<LogEntry>& entries) {
+  for (const LogEntry& entry : entries) {
+    std::string result;
+    if (entry.kind == EntryKind::kCommand) {
+      result = machine_->Apply(entry.index, entry.time_ms, entry.data);
+    }
+    const auto found = pending_.find(entry.index);
+    if (found == pending_.end()) {
+      continue;
+    }
+    const Pending pending = found->second;
+    pending_.erase(found);
+    if (pending.term == entry.term) {
+      Reply(pending.caller, std::move(result));
+    } else {
+      // Another entry is committed at this place, so this one never will be.
+      Refuse(pending.caller, {Reason::kNotLeader, RunState::kNotRun,
+                              "another leader replaced the entry"});
+    }
+  }
+  if (!entries.empty() && name() == kControlGroup) {
+    PushControl();
+  }
+}
+
+void GroupHost::AnswerReads(const Ready& ready) {
+  for (const uint64_t id : ready.reads) {
+    const auto node = queries_.extract(id);
+    if (!node.empty()) {
+      for (const Query& query : node.mapped()) {
+        AnswerQuery(query);
+      }
+    }
+  }
+  for (const uint64_t id : ready.failed_reads) {
+    const auto node = queries_.extract(id);
+    if (!node.empty()) {
+      for (const Query& query : node.mapped()) {
+        Refuse(query.caller, {Reason::kNotLeader, RunState::kNotRun,
+                              "leadership was lost before the read"});
+      }
+    }
+  }
+}
+
+void GroupHost::NoteLeader() {
+  const ReplicaStatus status = replica_->status();
+  has_leader_ = status.leader != 0;
+  leads_ = replica_->is_leader();
+  if (!replica_->is_leader()) {
+    FailPending("leadership was lost before the entry was committed");
+  }
+  if (status.leader == known_leader_ && status.term == known_term_) {
+    return;
+  }
+  known_leader_ = status.leader;
+  known_term_ = status.term;
+  metrics::SetGauge("ring_log_term", {{"group", name()}},
+                    static_cast<double>(status.term));
+  metrics::SetGauge("ring_log_leads", {{"group", name()}}, leads_ ? 1 : 0);
+  Event(LogLevel::kInfo, "leader_changed")
+      .Add("group", name())
+      .Add("term", status.term)
+      .Add("leader", status.leader)
+      .Add("role", ToString(status.role));
+}
+
+// The entries may still be committed by the next leader.
+void GroupHost::FailPending(const std::string& message) {
+  for (const auto& [index, pending] : std::exchange(pending_, {})) {
+    Refuse(pending.caller, {Reason::kNoQuorum, RunState::kUnknown, message});
+  }
+  if (replica_ && replica_->is_leader()) {
+    return;
+  }
+  for (const auto& [id, queries] : std::exchange(queries_, {})) {
+    for (const Query& query : queries) {
+      Refuse(query.caller, {Reason::kNoQuorum, RunState::kNotRun, message});
+    }
+  }
+}
+
+Status GroupHost::SnapshotIfDue() {
+  const SnapshotMeta meta = replica_->AppliedMeta();
+  const uint64_t covered = meta.index - replica_->start_index();
+  const uint64_t kept = init_.snapshot_entries / kKeptShare;
+  if (covered < init_.snapshot_entries + kept &&
+      (wal_->log_bytes() < kMaxLogBytes || covered == 0)) {
+    return Done{};
+  }
+  const bool large = wal_->log_bytes() >= kMaxLogBytes;
+  Snapshot snapshot{meta, machine_->Save()};
+  replica_->Compact(meta, large ? meta.index + 1 : meta.index - kept + 1);
+  const uint64_t start = replica_->start_index();
+  Status status = wal_->SaveSnapshot(snapshot, replica_->hard_state(), start,
+                                     replica_->TermAt(start),
+                                     replica_->EntriesAfter(start));
+  Event(LogLevel::kInfo, "snapshot_saved")
+      .Add("group", name())
+      .Add("index", meta.index)
+      .Add("bytes", uint64_t{snapshot.data.size()});
+  return status;
+}
+
+}  // namespace ring
--- a/src/log_wal.cc
+++ b/src/log_wal.cc
@@ -63,25 +63,6 @@
   return Done{};
 }
 
-std::string EncodeSnapshot(const Snapshot& snapshot) {
-  return EncodeRecord(EncodeSnapshotMeta(snapshot.meta)) +
-         EncodeRecord(snapshot.data);
-}
-
-Outcome<Snapshot> DecodeSnapshot(std::string_view bytes) {
-  constexpr size_t kRecords = 2;
-  const auto scan = ScanRecords(bytes);
-  if (!scan || scan->payloads.size() != kRecords ||
-      scan->valid_bytes != bytes.size()) {
-    return Corrupt("the snapshot file is damaged");
-  }
-  auto meta = DecodeSnapshotMeta(scan->payloads[0]);
-  if (!meta) {
-    return meta.refusal();
-  }
-  return Snapshot{*meta, std::string(scan->payloads[1])};
-}
-
 std::string EncodeLogStart(const HardState& hard_state,
                            uint64_t start_index,
                            uint64_t start_term,
@@ -189,6 +170,25 @@
 
 }  // namespace
 
+std::string EncodeSnapshotFile(const Snapshot& snapshot) {
+  return EncodeRecord(EncodeSnapshotMeta(snapshot.meta)) +
+         EncodeRecord(snapshot.data);
+}
+
+Outcome<Snapshot> DecodeSnapshotFile(std::string_view bytes) {
+  constexpr size_t kRecords = 2;
+  const auto scan = ScanRecords(bytes);
+  if (!scan || scan->payloads.size() != kRecords ||
+      scan->valid_bytes != bytes.size()) {
+    return Corrupt("the snapshot file is damaged");
+  }
+  auto meta = DecodeSnapshotMeta(scan->payloads[0]);
+  if (!meta) {
+    return meta.refusal();
+  }
+  return Snapshot{*meta, std::string(scan->payloads[1])};
+}
+
 Status Wal::Initialize(DiskI& disk,
                        const WalIdentity& identity,
                        const std::vector<Member>& initial_members) {
@@ -206,7 +206,7 @@
   if (!initial_members.empty()) {
     meta = {kInitialIndex, kInitialIndex, 0, {initial_members}};
   }
-  Status status = disk.Replace(kSnapshotFile, EncodeSnapshot({meta, ""}));
+  Status status = disk.Replace(kSnapshotFile, EncodeSnapshotFile({meta, ""}));
   if (status) {
     status = disk.Replace(
         kLogFile, EncodeLogStart({meta.term, 0}, meta.index, meta.term, {}));
@@ -312,7 +312,7 @@
   if (!status) {
     return status;
   }
-  status = disk_.Replace(kSnapshotFile, EncodeSnapshot(snapshot));
+  status = disk_.Replace(kSnapshotFile, EncodeSnapshotFile(snapshot));
   if (!status) {
     failed_ = true;
     return status;
@@ -326,7 +326,7 @@
   if (!bytes) {
     return bytes.refusal();
   }
-  return DecodeSnapshot(*bytes);
+  return DecodeSnapshotFile(*bytes);
 }
 
 }  // namespace ring
