--- /dev/null
+++ b/fakes/fake_disk.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "persimmonring/log.h"
+
+namespace ring {
+
+/// Disk in memory whose contents outlive the FakeDisk that wrote them, with
+/// scripted faults. Bytes count as durable only once synced. Used by one
+/// thread at a time.
+class FakeDisk final : public DiskI {
+ public:
+  /// Contents of the medium; share it between a disk and its successor.
+  struct Medium {
+    struct File {
+      std::string durable;
+      std::string cached;  ///< What a reader sees before a power cut.
+    };
+    std::map<std::string, File> files;
+    int64_t operations = 0;  ///< Writing operations so far.
+    int64_t syncs = 0;
+    /// The operation with this number fails, counted from 1; 0: none.
+    int64_t fail_at = 0;
+    bool fail_after_too = false;  ///< All later operations fail as well.
+    Reason fail_reason = Reason::kStorageFailed;
+    /// A failing append still writes this many of its bytes.
+    size_t partial_bytes = 0;
+  };
+
+  explicit FakeDisk(std::shared_ptr<Medium> medium)
+      : medium_(std::move(medium)) {}
+
+  /// Loses everything that is not synced.
+  /// @param kept_unsynced_bytes prefix of the unsynced tail of each file that
+  ///        reached the medium all the same (torn write)
+  static void CutPower(Medium& medium, size_t kept_unsynced_bytes = 0) {
+    for (auto& [name, file] : medium.files) {
+      std::string kept = file.durable;
+      if (file.cached.starts_with(file.durable)) {
+        kept += file.cached.substr(file.durable.size(), kept_unsynced_bytes);
+      }
+      file.durable = kept;
+      file.cached = std::move(kept);
+    }
+    std::erase_if(medium.files,
+                  [](const auto& item) { return item.second.cached.empty(); });
+    medium.fail_at = 0;
+    medium.fail_after_too = false;
+  }
+
+  static void FlipBit(Medium& medium, const std::string& name, size_t bit) {
+    constexpr size_t kBitsPerByte = 8;
+    Medium::File& file = medium.files.at(name);
+    for (std::string* bytes : {&file.durable, &file.cached}) {
+      (*bytes)[bit / kBitsPerByte] ^=
+          static_cast<char>(1u << (bit % kBitsPerByte));
+    }
+  }
+
+  Outcome<std::vector<std::string>> List() override {
+    std::vector<std::string> names;
+    for (const auto& [name, file] : medium_->files) {
+      names.push_back(name);
+    }
+    return names;
+  }
+
+  Outcome<std::string> Read(const std::string& name) override {
+    const auto found = medium_->files.find(name);
+    if (found == medium_->files.end()) {
+      return Refusal{Reason::kStorageFailed, RunState::kNotRun,
+                     "no file " + name};
+    }
+    return found->second.cached;
+  }
+
+  Status Append(const std::string& name, std::string_view bytes) override {
+    if (Fails()) {
+      medium_->files[name].cached += bytes.substr(0, medium_->partial_bytes);
+      return Failure();
+    }
+    medium_->files[name].cached += bytes;
+    return Done{};
+  }
+
+  Status Sync(const std::string& name) override {
+    if (Fails()) {
+      return Failure();
+    }
+    ++medium_->syncs;
+    Medium::File& file = medium_->files[name];
+    file.durable = file.cached;
+    return Done{};
+  }
+
+  Status Replace(const std::string& name, std::string_view bytes) override {
+    if (Fails()) {
+      return Failure();
+    }
+    ++medium_->syncs;
+    medium_->files[name] = {std::string(bytes), std::string(bytes)};
+    return Done{};
+  }
+
+  Status Truncate(const std::string& name, uint64_t size) override {
+    if (Fails()) {
+      return Failure();
+    }
+    Medium::File& file = medium_->files[name];
+    file.cached.resize(size);
+    file.durable = file.cached;
+    return Done{};
+  }
+
+  Status Remove(const std::string& name) override {
+    if (Fails()) {
+      return Failure();
+    }
+    medium_->files.erase(name);
+    return Done{};
+  }
+
+ private:
+  bool Fails() {
+    const int64_t number = ++medium_->operations;
+    return medium_->fail_at != 0 &&
+           (number == medium_->fail_at ||
+            (medium_->fail_after_too && number > medium_->fail_at));
+  }
+
+  Refusal Failure() const {
+    return {medium_->fail_reason, RunState::kNotRun, "scripted fault"};
+  }
+
+  const std::shared_ptr<Medium> medium_;
+};
+
+}  // namespace ring
--- /dev/null
+++ b/tests/log_cluster.h
@@ -0,0 +1,285 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "fakes/fake_disk.h"
+#include "persimmonring/log.h"
+
+namespace ring {
+
+/// Replicas with their stores over a seeded message queue that drops,
+/// duplicates and reorders. Checks after each apply that no two replicas apply
+/// different entries at one index.
+class LogCluster {
+ public:
+  struct Faults {
+    double drop = 0;
+    double duplicate = 0;
+    bool reorder = false;
+  };
+
+  struct Node {
+    std::shared_ptr<FakeDisk::Medium> medium;
+    std::unique_ptr<FakeDisk> disk;
+    std::unique_ptr<Wal> wal;
+    std::unique_ptr<Replica> replica;
+    std::vector<LogEntry> applied;  ///< Commands since the last start.
+    std::string state;              ///< All applied commands, joined.
+    std::set<uint64_t> reads;
+    std::set<uint64_t> failed_reads;
+    bool running = false;
+  };
+
+  explicit LogCluster(uint64_t seed, std::vector<ReplicaNumber> voters = {1, 2,
+                                                                          3})
+      : seed_(seed), rng_(seed) {
+    for (const ReplicaNumber id : voters) {
+      initial_.push_back({id, NodeName(id), true});
+    }
+    for (const ReplicaNumber id : voters) {
+      Create(id, initial_);
+    }
+  }
+
+  static std::string NodeName(ReplicaNumber id) {
+    return "k" + std::to_string(id);
+  }
+
+  void Create(ReplicaNumber id, const std::vector<Member>& members) {
+    Node& node = nodes_[id];
+    node.medium = std::make_shared<FakeDisk::Medium>();
+    node.disk = std::make_unique<FakeDisk>(node.medium);
+    ASSERT_TRUE(Wal::Initialize(*node.disk, Identity(id), members));
+    Start(id);
+  }
+
+  static WalIdentity Identity(ReplicaNumber id) { return {"r", "g", id}; }
+
+  void Start(ReplicaNumber id) {
+    Node& node = nodes_[id];
+    auto wal = Wal::Open(*node.disk, {.identity = Identity(id)});
+    ASSERT_TRUE(wal) << wal.refusal().message;
+    node.wal = std::move(*wal);
+    Replica::Init init;
+    init.id = id;
+    init.heartbeat_ticks = 2;
+    init.election_ticks = 10;
+    init.seed = seed_ * 100 + id;
+    init.max_snapshot_chunk = 16;
+    init.max_append_bytes = 64;
+    init.load_snapshot = [&node] {
+      return std::make_shared<const Snapshot>(*node.wal->LoadSnapshot());
+    };
+    node.state = node.wal->LoadSnapshot()->data;
+    node.applied.clear();
+    node.replica = std::make_unique<Replica>(init, node.wal->recovered());
+    node.running = true;
+  }
+
+  /// Stops a replica as a power cut does.
+  void Crash(ReplicaNumber id) {
+    Node& node = nodes_[id];
+    node.running = false;
+    FakeDisk::CutPower(*node.medium);
+  }
+
+  void Cut(ReplicaNumber a, ReplicaNumber b) {
+    cut_.insert({a, b});
+    cut_.insert({b, a});
+  }
+  void Isolate(ReplicaNumber id) {
+    for (const auto& [other, node] : nodes_) {
+      if (other != id) {
+        Cut(id, other);
+      }
+    }
+  }
+  void Heal() { cut_.clear(); }
+
+  /// Advances all replicas by one tick and delivers messages.
+  void Tick(int count = 1) {
+    for (int i = 0; i < count; ++i) {
+      now_ms_ += 10;
+      for (auto& [id, node] : nodes_) {
+        if (node.running) {
+          node.replica->Tick(now_ms_);
+        }
+      }
+      Drain();
+    }
+  }
+
+  /// Ticks until the condition holds.
+  template <typename F>
+  bool TickUntil(F condition, int limit = 2'000) {
+    for (int i = 0; i < limit; ++i) {
+      if (condition()) {
+        return true;
+      }
+      Tick();
+    }
+    return condition();
+  }
+
+  void Drain() {
+    constexpr int kMaxRounds = 100;
+    for (int round = 0; round < kMaxRounds; ++round) {
+      for (auto& [id, node] : nodes_) {
+        while (node.running && node.replica->HasReady()) {
+          Process(id, node);
+        }
+      }
+      if (queue_.empty()) {
+        return;
+      }
+      Deliver();
+    }
+  }
+
+  /// @returns the leader with the highest term, 0 if there is none
+  ReplicaNumber Leader() const {
+    ReplicaNumber found = 0;
+    uint64_t term = 0;
+    for (const auto& [id, node] : nodes_) {
+      if (node.running && node.replica->is_leader() &&
+          node.replica->status().term > term) {
+        found = id;
+        term = node.replica->status().term;
+      }
+    }
+    return found;
+  }
+
+  ReplicaNumber WaitLeader() {
+    EXPECT_TRUE(TickUntil([&] {
+      const ReplicaNumber id = Leader();
+      return id != 0 && Settled(id);
+    })) << "no leader, seed "
+        << seed_;
+    return Leader();
+  }
+
+  /// Proposes at the leader and waits until it is applied there.
+  bool Commit(const std::string& command) {
+    const ReplicaNumber leader = Leader();
+    if (leader == 0 || !nodes_[leader].replica->Propose(command, now_ms_)) {
+      return false;
+    }
+    return TickUntil([&] { return Applied(leader, command); }, 200);
+  }
+
+  bool Applied(ReplicaNumber id, const std::string& command) {
+    return nodes_[id].state.find(command + ";") != std::string::npos;
+  }
+
+  void TakeSnapshot(ReplicaNumber id) {
+    Node& node = nodes_[id];
+    const SnapshotMeta meta = node.replica->AppliedMeta();
+    node.replica->Compact(meta, meta.index + 1);
+    ASSERT_TRUE(node.wal->SaveSnapshot(
+        {meta, node.state}, node.replica->hard_state(), meta.index, meta.term,
+        node.replica->EntriesAfter(meta.index)));
+  }
+
+  Node& node(ReplicaNumber id) { return nodes_[id]; }
+  Replica& replica(ReplicaNumber id) { return *nodes_[id].replica; }
+  std::map<ReplicaNumber, Node>& nodes() { return nodes_; }
+  Faults& faults() { return faults_; }
+  Rng& rng() { return rng_; }
+  int64_t now_ms() const { return now_ms_; }
+  uint64_t messages_sent() const { return messages_sent_; }
+  const std::vector<Member>& initial() const { return initial_; }
+  void set_now_ms(int64_t now_ms) { now_ms_ = now_ms; }
+
+ private:
+  bool Settled(ReplicaNumber id) {
+    const ReplicaStatus status = nodes_[id].replica->status();
+    return nodes_[id].replica->TermAt(status.commit_index) == status.term;
+  }
+
+  void Process(ReplicaNumber id, Node& node) {
+    Ready ready = node.replica->TakeReady();
+    if (ready.snapshot) {
+      ASSERT_TRUE(node.wal->SaveSnapshot(
+          *ready.snapshot, node.replica->hard_state(),
+          ready.snapshot->meta.index, ready.snapshot->meta.term, {}));
+      node.state = ready.snapshot->data;
+    }
+    if (ready.hard_state || !ready.entries.empty()) {
+      ASSERT_TRUE(node.wal->Append(ready.hard_state, ready.entries));
+    }
+    node.replica->Persisted();
+    for (RaftMessage& message : ready.messages) {
+      Enqueue(std::move(message));
+    }
+    for (const LogEntry& entry : ready.committed) {
+      CheckAgreement(id, entry);
+      if (entry.kind == EntryKind::kCommand) {
+        node.state += entry.data + ";";
+        node.applied.push_back(entry);
+      }
+    }
+    node.reads.insert(ready.reads.begin(), ready.reads.end());
+    node.failed_reads.insert(ready.failed_reads.begin(),
+                             ready.failed_reads.end());
+  }
+
+  void CheckAgreement(ReplicaNumber id, const LogEntry& entry) {
+    const auto [it, added] = committed_.try_emplace(entry.index, entry);
+    ASSERT_EQ(it->second, entry) << "replica " << id << " applied another "
+                                 << "entry, seed " << seed_;
+  }
+
+  void Enqueue(RaftMessage message) {
+    ++messages_sent_;
+    if (Chance(faults_.drop)) {
+      return;
+    }
+    // The codec is part of the path.
+    auto decoded = DecodeRaftMessage(EncodeRaftMessage(message));
+    ASSERT_TRUE(decoded && *decoded == message);
+    if (Chance(faults_.duplicate)) {
+      queue_.push_back(message);
+    }
+    queue_.push_back(std::move(message));
+  }
+
+  void Deliver() {
+    std::deque<RaftMessage> batch = std::exchange(queue_, {});
+    if (faults_.reorder) {
+      std::shuffle(batch.begin(), batch.end(), rng_);
+    }
+    for (const RaftMessage& message : batch) {
+      const auto target = nodes_.find(message.to);
+      if (target != nodes_.end() && target->second.running &&
+          !cut_.contains({message.from, message.to})) {
+        target->second.replica->Step(message, now_ms_);
+      }
+    }
+  }
+
+  bool Chance(double probability) {
+    return probability > 0 &&
+           std::uniform_real_distribution<>(0, 1)(rng_) < probability;
+  }
+
+  const uint64_t seed_;
+  Rng rng_;
+  std::vector<Member> initial_;
+  std::map<ReplicaNumber, Node> nodes_;
+  std::set<std::pair<ReplicaNumber, ReplicaNumber>> cut_;
+  std::deque<RaftMessage> queue_;
+  std::map<uint64_t, LogEntry> committed_;
+  Faults faults_;
+  int64_t now_ms_ = 1'000;
+  uint64_t messages_sent_ = 0;
+};
+
+}  // namespace ring
