Add the stand-ins ringfake and ringlink

Tests need upstreams and links with scripted faults. ringfake models continuous batching, a prefix cache by key and orders with fencing, or counts the executions of a plain service. ringlink relays TCP with a delay and cuts, refuses, resets or heals the link.

--- /dev/null
+++ b/fakes/ringfake/announcer.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "fakes/ringfake/options.h"
+#include "persimmonring/runtime.h"
+
+namespace ring::fakes {
+
+/// Posts the announcement to each entry once a period; one thread for each
+/// entry, so that a dead entry delays no other.
+class Announcer {
+ public:
+  Announcer(const Options& options, std::function<nlohmann::json()> body);
+  ~Announcer();
+  /// Announces at once.
+  void Now();
+
+ private:
+  void Run(const Endpoint& entry);
+
+  const Options& options_;
+  const std::function<nlohmann::json()> body_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  uint64_t round_ = 0;
+  bool stop_ = false;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace ring::fakes
--- /dev/null
+++ b/fakes/ringfake/engine_server.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "fakes/ringfake/batch.h"
+#include "fakes/ringfake/faults.h"
+#include "fakes/ringfake/http_common.h"
+
+namespace ring::fakes {
+
+/// HTTP interface of a model engine.
+class EngineServer {
+ public:
+  EngineServer(const Options& options, Life& life, Faults& faults);
+  void AddRoutes(httplib::Server& server);
+  /// Load as reported, which lags by load_lag_ms.
+  nlohmann::json Load();
+  nlohmann::json Models();
+  nlohmann::json Adapters();
+  void SetSlowFactor(double factor) { batch_.SetSlowFactor(factor); }
+
+ private:
+  void Complete(const httplib::Request& request, httplib::Response& response);
+  std::shared_ptr<Job> MakeJob(const nlohmann::json& body,
+                               httplib::Response& response);
+  void AddCacheRoutes(httplib::Server& server);
+  void AddOrderRoutes(httplib::Server& server);
+  void Import(const nlohmann::json& body, httplib::Response& response);
+  void Order(const nlohmann::json& body, httplib::Response& response);
+  void ApplyOrder(const nlohmann::json& body);
+  nlohmann::json State();
+
+  const Options& options_;
+  Life& life_;
+  Faults& faults_;
+  PrefixCache cache_;
+  Batch batch_;
+
+  std::mutex mutex_;
+  std::map<std::string, std::string> models_;  // Name to version.
+  std::set<std::string> adapters_;
+  std::string role_ = "mixed";
+  uint64_t fence_ = 0;
+  int64_t orders_ = 0;
+  int64_t stale_orders_ = 0;  // Applied although their fence was old.
+  nlohmann::json load_;
+  int64_t load_at_ms_ = 0;
+};
+
+}  // namespace ring::fakes
--- /dev/null
+++ b/fakes/ringfake/prefix_cache.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "fakes/ringfake/options.h"
+#include "persimmonring/core.h"
+
+namespace ring::fakes {
+
+/// Prefix cache by key with least-recently-used eviction. Memory is counted in
+/// tokens; a request in the batch pins its key. Thread-safe.
+class PrefixCache {
+ public:
+  PrefixCache(const Options& options, const ClockI& clock);
+
+  /// Reserves memory for a request and pins its key.
+  /// @param text whole prompt
+  /// @param tokens prompt and answer
+  /// @returns cached prompt tokens, or nullopt if there is no room yet
+  std::optional<int64_t> Begin(const std::string& key,
+                               const std::string& text,
+                               int64_t tokens);
+  /// Ends the request. The text becomes the cached text of the key.
+  void Finish(const std::string& key, std::string text, int64_t reserved);
+  /// @returns false if the key is in use; it is then dropped when it ends
+  bool Release(const std::string& key);
+  std::optional<std::string> Export(const std::string& key);
+  bool Import(const std::string& key, std::string text);
+
+  /// Events after `since` that are old enough to be shown.
+  nlohmann::json Events(uint64_t since) const;
+  int64_t used_tokens() const;
+  nlohmann::json Stats() const;
+  /// Per key: tokens held now, token-milliseconds held, tokens computed.
+  nlohmann::json Keys() const;
+
+ private:
+  struct Key {
+    std::string text;
+    int64_t tokens = 0;  // Held for `text`.
+    int pins = 0;
+    bool drop = false;
+    std::list<std::string>::iterator used;
+    bool listed = false;
+  };
+  // Kept for ended and evicted keys too.
+  struct History {
+    std::string longest;
+    int64_t computed_tokens = 0;
+    int64_t recomputed_tokens = 0;
+    double held_token_ms = 0;
+    int64_t held_tokens = 0;
+    int64_t since_ms = 0;
+  };
+  struct TimedEvent {
+    uint64_t number;
+    std::string key;
+    int64_t tokens;
+    int64_t at_ms;
+  };
+
+  bool MakeRoom(int64_t tokens);
+  void Drop(std::map<std::string, Key>::iterator it);
+  void Touch(const std::string& name, Key& key);
+  void SetHeld(const std::string& name, int64_t tokens);
+  void AddEvent(const std::string& name, int64_t tokens);
+
+  const Options& options_;
+  const ClockI& clock_;
+  mutable std::mutex mutex_;
+  std::map<std::string, Key> keys_;
+  std::map<std::string, History> history_;
+  std::list<std::string> recent_;  // Front: least recently used.
+  std::deque<TimedEvent> events_;
+  uint64_t next_event_ = 1;
+  int64_t used_ = 0;
+  int64_t computed_tokens_ = 0;
+  int64_t cached_tokens_ = 0;
+  int64_t recomputed_tokens_ = 0;
+  int64_t evictions_ = 0;
+  int64_t releases_ = 0;
+  Rng rng_;
+};
+
+}  // namespace ring::fakes
--- /dev/null
+++ b/fakes/ringfake/service_server.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "fakes/ringfake/faults.h"
+#include "fakes/ringfake/http_common.h"
+
+namespace ring::fakes {
+
+/// HTTP interface of a plain service: POST /v1/services/<name>/<path>. It runs
+/// each request that reaches it and keeps count, so that tests see a request
+/// that ran twice.
+class ServiceServer {
+ public:
+  ServiceServer(const Options& options, Life& life, Faults& faults);
+  void AddRoutes(httplib::Server& server);
+
+ private:
+  void Execute(const httplib::Request& request, httplib::Response& response);
+  // Applies the fault <mode>_<moment>, scripted or by option.
+  // @returns true if the connection was reset
+  bool Break(const std::string& moment, const httplib::Request& request);
+
+  const Options& options_;
+  Life& life_;
+  Faults& faults_;
+  std::mutex mutex_;
+  std::map<std::string, int64_t> by_key_;
+  std::map<std::string, int64_t> by_digest_;
+  int64_t total_ = 0;
+};
+
+}  // namespace ring::fakes
--- /dev/null
+++ b/fakes/ringlink/relay.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "persimmonring/core.h"
+
+namespace ring::fakes {
+
+/// TCP relay between a listening port and a target on one poll thread.
+class Relay {
+ public:
+  enum class Mode : uint8_t {
+    kOpen,    ///< Forwards.
+    kCut,     ///< Drops bytes silently, keeps connections.
+    kRefuse,  ///< Closes the listener; open connections go on.
+  };
+
+  struct Init {
+    Endpoint listen;  ///< Port 0: any free port.
+    Endpoint target;
+    int64_t delay_ms = 0;  ///< One way.
+  };
+
+  /// @returns storage_failed if the port is in use
+  static Outcome<std::unique_ptr<Relay>> Create(const Init& init);
+  ~Relay();
+
+  uint16_t port() const { return port_; }
+  /// Connections that lost bytes while cut are reset when the mode leaves kCut,
+  /// because a stream with a hole must not reach its receiver.
+  void SetMode(Mode mode);
+  /// Resets all connections.
+  void Reset() { reset_.store(true); }
+  void SetDelay(int64_t delay_ms) { delay_ms_.store(delay_ms); }
+  nlohmann::json Stats() const;
+
+ private:
+  struct Chunk {
+    std::string bytes;
+    int64_t due_ms;
+  };
+  // One direction of a connection.
+  struct Flow {
+    std::deque<Chunk> chunks;
+    size_t bytes = 0;
+    bool ended = false;       // The source has sent its end.
+    bool end_passed = false;  // The end has been passed on.
+  };
+  struct Connection {
+    int fds[2] = {-1, -1};  // Caller, target.
+    Flow flows[2];          // [0] caller to target, [1] target to caller.
+    bool lost_bytes = false;
+    bool broken = false;
+  };
+
+  Relay(const Init& init, int listen_fd, uint16_t port);
+  void Run();
+  void ApplyCommands();
+  bool OpenListener();
+  void Accept();
+  void ReadFrom(Connection& connection, int side);
+  void WriteTo(Connection& connection, int side);
+  void CloseBroken();
+  int PollTimeoutMs() const;
+
+  const Init init_;
+  int listen_fd_;
+  const uint16_t port_;
+  std::atomic<Mode> mode_{Mode::kOpen};
+  std::atomic<bool> reset_{false};
+  std::atomic<bool> stop_{false};
+  std::atomic<int64_t> delay_ms_;
+  std::atomic<uint64_t> bytes_[2] = {0, 0};
+  std::atomic<uint64_t> dropped_bytes_{0};
+  std::atomic<uint64_t> accepted_{0};
+  std::atomic<uint64_t> open_{0};
+  std::map<uint64_t, Connection> connections_;
+  uint64_t next_ = 1;
+  std::thread thread_;
+};
+
+}  // namespace ring::fakes
