Make ringlink commands take effect before they are answered

A command was applied on the next pass of the relay thread, so that a connection right after /heal was still refused. Commands now wait for a whole pass.

--- a/fakes/ringlink/relay.cc
+++ b/fakes/ringlink/relay.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -94,6 +95,20 @@
 
 void Relay::SetMode(Mode mode) {
   mode_.store(mode);
+  WaitApplied();
+}
+
+void Relay::Reset() {
+  reset_.store(true);
+  WaitApplied();
+}
+
+void Relay::WaitApplied() const {
+  const uint64_t pass = passes_.load();
+  // The pass under way may have read the old command.
+  while (passes_.load() < pass + 2 && !stop_.load()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
 }
 
 nlohmann::json Relay::Stats() const {
@@ -139,6 +154,7 @@
       Accept();
     }
     CloseBroken();
+    passes_.fetch_add(1);
   }
 }
 
--- a/fakes/ringlink/relay.h
+++ b/fakes/ringlink/relay.h
@@ -34,11 +34,12 @@
   ~Relay();
 
   uint16_t port() const { return port_; }
+  /// Returns when the mode is in force.
   /// Connections that lost bytes while cut are reset when the mode leaves kCut,
   /// because a stream with a hole must not reach its receiver.
   void SetMode(Mode mode);
   /// Resets all connections.
-  void Reset() { reset_.store(true); }
+  void Reset();
   void SetDelay(int64_t delay_ms) { delay_ms_.store(delay_ms); }
   nlohmann::json Stats() const;
 
@@ -62,6 +63,7 @@
   };
 
   Relay(const Init& init, int listen_fd, uint16_t port);
+  void WaitApplied() const;
   void Run();
   void ApplyCommands();
   bool OpenListener();
@@ -77,6 +79,7 @@
   std::atomic<Mode> mode_{Mode::kOpen};
   std::atomic<bool> reset_{false};
   std::atomic<bool> stop_{false};
+  std::atomic<uint64_t> passes_{0};
   std::atomic<int64_t> delay_ms_;
   std::atomic<uint64_t> bytes_[2] = {0, 0};
   std::atomic<uint64_t> dropped_bytes_{0};
