Add the parts of the entry's call path

Cause: entries need HTTP parsing, program sessions, a scheduler thread and attempts before a call can run.

--- /dev/null
+++ b/src/entry_http_server_p.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <httplib.h>
+
+#include "entry_call_p.h"
+
+namespace ring::entry {
+
+/// Socket of one connection with bounds that the library lacks: time for the
+/// whole header and the whole body, number and bytes of headers.
+class ConnectionStream final : public httplib::Stream {
+ public:
+  ConnectionStream(socket_t socket, const HttpLimits& limits);
+
+  /// Resets the bounds for the next request of the connection.
+  void BeginRequest();
+  /// @returns true if a byte can be read within the time
+  bool WaitReadable(int64_t timeout_ms) const;
+  /// @returns true if the other end has closed the connection
+  bool PeerClosed() const;
+  /// Closes the connection after the present response.
+  void CloseAfterResponse() { close_after_response_ = true; }
+  bool close_after_response() const { return close_after_response_; }
+  /// The connection that the calling thread serves, or nullptr.
+  static ConnectionStream* Current();
+
+  bool is_readable() const override;
+  bool is_writable() const override;
+  ssize_t read(char* data, size_t size) override;
+  ssize_t write(const char* data, size_t size) override;
+  void get_remote_ip_and_port(std::string& ip, int& port) const override;
+  void get_local_ip_and_port(std::string& ip, int& port) const override;
+  socket_t socket() const override { return socket_; }
+
+ private:
+  bool FillBuffer();
+  void CountHeader(char byte);
+  void Violate(const Refusal& refusal);
+
+  const socket_t socket_;
+  const HttpLimits& limits_;
+  std::string buffer_;
+  size_t buffer_position_ = 0;
+  bool in_header_ = true;
+  int64_t headers_ = 0;
+  int64_t header_bytes_ = 0;
+  int64_t line_bytes_ = 0;
+  int64_t deadline_ms_ = 0;
+  bool violated_ = false;
+  bool close_after_response_ = false;
+};
+
+/// Bounded pool of the library's tasks, one task for each connection. A task
+/// beyond the bound runs on a thread that only refuses.
+class ConnectionQueue final : public httplib::TaskQueue {
+ public:
+  explicit ConnectionQueue(const HttpLimits& limits);
+  ~ConnectionQueue() override;
+  void enqueue(std::function<void()> task) override;
+  void shutdown() override;
+  size_t waiting() const { return waiting_.load(); }
+  /// @returns true on a thread that must refuse its connection
+  static bool Refusing();
+
+ private:
+  void Work(BoundedRing<std::function<void()>>& tasks, bool refusing);
+
+  std::atomic<size_t> waiting_{0};
+  BoundedRing<std::function<void()>> tasks_;
+  BoundedRing<std::function<void()>> refused_;
+  std::vector<std::thread> threads_;
+};
+
+/// HTTP server with bounded connections, headers, bodies and times.
+class HttpServer final : public httplib::Server {
+ public:
+  explicit HttpServer(const HttpLimits& limits);
+
+  /// @returns the port, or storage_failed if it is in use
+  Outcome<uint16_t> Bind(const Endpoint& endpoint);
+  /// Ends connections after their present request.
+  void CloseIdle() { closing_.store(true); }
+  /// Requests being read, run or answered.
+  int active() const { return active_.load(); }
+
+ private:
+  bool process_and_close_socket(socket_t socket) override;
+  void Serve(ConnectionStream& stream);
+  bool WaitForRequest(const ConnectionStream& stream) const;
+  void RefuseConnection(ConnectionStream& stream) const;
+  HandlerResponse CheckHead(const httplib::Request& request,
+                            httplib::Response& response) const;
+
+  const HttpLimits limits_;
+  ConnectionQueue* queue_ = nullptr;  ///< Owned by the library while it runs.
+  std::atomic<bool> closing_{false};
+  std::atomic<int> active_{0};
+};
+
+/// Writes a refusal with its body and Retry-After header.
+void SetRefusal(httplib::Response& response, const Refusal& refusal);
+
+}  // namespace ring::entry
--- /dev/null
+++ b/src/entry_programs.cc
@@ -0,0 +1,98 @@
+// Opening, reading and ending programs.
+
+#include "entry_calls_p.h"
+
+namespace ring::entry {
+
+Outcome<ProgramState> CallService::Open(const OpenRequest& request) {
+  if (refuse_programs_.load()) {
+    return Refuse(Reason::kDraining, "this entry is leaving",
+                  SpreadMs(init_.drain_notice_ms));
+  }
+  if (!config_.Allows("team", request.team)) {
+    return Refuse(Reason::kNotAllowed, "unknown team");
+  }
+  const bool sub_agent = isValid(request.parent);
+  const auto limit = static_cast<size_t>(init_.call_limits.max_first_queue);
+  if (!sub_agent && scheduler_.waiting() >= limit) {
+    return Refuse(Reason::kOverload, "the ring is full for new programs",
+                  SpreadMs(scheduler_.ExpectedWaitMs()));
+  }
+  // A child lives with its parent, because both change in one log entry.
+  const std::string domain(sub_agent ? request.parent.home_domain()
+                                     : std::string_view(init_.domain));
+  const auto gate = sessions_.gate().Check(domain);
+  if (!gate) {
+    return gate.refusal();
+  }
+  OpenProgram command;
+  command.id = ProgramId::Generate(domain);
+  command.team = request.team;
+  command.budget_tokens = request.budget_tokens;
+  command.deadline_wall_ms = parts_.clock->WallMs() + request.deadline_ms;
+  command.idle_limit_ms = request.idle_ms;
+  command.parent = request.parent;
+  command.owner = init_.node;
+  const auto state = parts_.programs->Open(command);
+  sessions_.gate().Report(domain, state.refusal().reason);
+  if (!state) {
+    Refusal refusal = state.refusal();
+    if (refusal.reason == Reason::kNoQuorum) {
+      // The caller never learns the id, so a program that opens late runs
+      // nothing and expires.
+      refusal.run_state = RunState::kNotRun;
+      refusal.retry_after_ms = SpreadMs(init_.call_limits.quorum_retry_ms);
+    }
+    return refusal;
+  }
+  sessions_.Add(*state);
+  metrics::Count("ring_programs_opened_total");
+  Event(LogLevel::kInfo, "program_opened")
+      .Add("program", state->id.log_prefix())
+      .Add("team", state->team)
+      .Add("child", sub_agent);
+  return state;
+}
+
+Status CallService::End(const ProgramId& id) {
+  const SessionPtr session = sessions_.FindCached(id);
+  const std::string domain(id.home_domain());
+  const auto gate = sessions_.gate().Check(domain);
+  if (!gate) {
+    return gate;
+  }
+  const auto status = parts_.programs->End(id, Reason::kNone);
+  sessions_.gate().Report(domain, status.refusal().reason);
+  if (!status) {
+    return status;
+  }
+  if (session) {
+    std::lock_guard lock(session->mutex);
+    if (session->owned) {
+      statistics_.OnProgramEnd(session->state.turns);
+      metrics::ObserveMs(
+          "ring_program_ms", {},
+          static_cast<double>(parts_.clock->NowMs() - session->start_ms));
+    }
+    session->owned = false;
+    if (session->active) {
+      session->active->cancel.Cancel();
+    }
+  }
+  sessions_.Drop(id);
+  Event(LogLevel::kInfo, "program_ended").Add("program", id.log_prefix());
+  return Done{};
+}
+
+Outcome<ProgramState> CallService::Read(const ProgramId& id) {
+  const std::string domain(id.home_domain());
+  const auto gate = sessions_.gate().Check(domain);
+  if (!gate) {
+    return gate.refusal();
+  }
+  const auto state = parts_.programs->Read(id);
+  sessions_.gate().Report(domain, state.refusal().reason);
+  return state;
+}
+
+}  // namespace ring::entry
--- /dev/null
+++ b/src/entry_scheduler.cc
@@ -0,0 +1,346 @@
+#include "entry_scheduler_p.h"
+
+#include <algorithm>
+
+namespace ring::entry {
+namespace {
+
+// Longest time between decisions while calls wait, so that deadlines and
+// changes of the directory are seen.
+constexpr int64_t kDecisionPeriodMs = 20;
+
+uint64_t SeedOf(const EntryInit& init) {
+  return init.seed != 0 ? init.seed : std::random_device{}();
+}
+
+template <typename List, typename Value>
+bool Contains(const List& list, const Value& value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+}  // namespace
+
+bool Serves(const UpstreamRecord& record, const CallRequest& request) {
+  if (request.kind == CallKind::kModel) {
+    return record.kind == UpstreamKind::kEngine &&
+           Contains(record.models, request.model);
+  }
+  return record.kind == UpstreamKind::kService &&
+         Contains(record.services, request.service);
+}
+
+Scheduler::Scheduler(const EntryInit& init,
+                     const EntryParts& parts,
+                     UpstreamTable& upstreams,
+                     CallStatistics& statistics,
+                     BoundedRing<AttemptTask>& tasks)
+    : init_(init),
+      parts_(parts),
+      upstreams_(upstreams),
+      statistics_(statistics),
+      tasks_(tasks),
+      submissions_(static_cast<size_t>(init.call_limits.max_queue)),
+      rng_(SeedOf(init)) {}
+
+void Scheduler::OnRefusal(
+    std::function<void(const CallPtr&, const Refusal&)> refuse) {
+  refuse_ = std::move(refuse);
+}
+
+bool Scheduler::Submit(const CallPtr& call) {
+  const auto limit = static_cast<size_t>(init_.call_limits.max_queue);
+  if (waiting_.fetch_add(1) >= limit) {
+    waiting_.fetch_sub(1);
+    return false;
+  }
+  CallPtr item = call;
+  if (!submissions_.TryPush(std::move(item))) {
+    waiting_.fetch_sub(1);
+    return false;
+  }
+  return true;
+}
+
+void Scheduler::Resubmit(const CallPtr& call) {
+  waiting_.fetch_add(1);
+  {
+    std::lock_guard lock(resubmitted_mutex_);
+    resubmitted_.push_back(call);
+  }
+  Wake();
+}
+
+void Scheduler::Wake() {
+  // A full ring wakes the thread as well.
+  submissions_.TryPush(nullptr);
+}
+
+void Scheduler::Stop() {
+  submissions_.Close();
+}
+
+int64_t Scheduler::ExpectedWaitMs() const {
+  int64_t slots = 0;
+  for (const UpstreamRecord& record : parts_.directory->View()->upstreams) {
+    if (record.kind == UpstreamKind::kEngine &&
+        record.state == MemberState::kUp) {
+      slots += record.max_in_flight > 0 ? record.max_in_flight
+                                        : init_.call_limits.engine_in_flight;
+    }
+  }
+  const auto queued = static_cast<int64_t>(waiting_.load());
+  return std::max<int64_t>(
+      200, (queued + 1) * mean_call_ms_.load() / std::max<int64_t>(1, slots));
+}
+
+void Scheduler::OnCallTime(int64_t total_ms) {
+  constexpr int64_t kWeight = 8;
+  const int64_t mean_ms = mean_call_ms_.load();
+  mean_call_ms_.store(mean_ms + (total_ms - mean_ms) / kWeight);
+}
+
+Status Scheduler::Run(const StopToken& stop) {
+  while (!stop.stopped()) {
+    Step(queue_.empty() ? 100 : kDecisionPeriodMs);
+  }
+  return Done{};
+}
+
+void Scheduler::Step(int64_t wait_ms) {
+  for (CallPtr& call : submissions_.PopAll(wait_ms)) {
+    if (call) {
+      queue_.push_back(std::move(call));
+    }
+  }
+  {
+    std::lock_guard lock(resubmitted_mutex_);
+    queue_.insert(queue_.begin(), resubmitted_.begin(), resubmitted_.end());
+    resubmitted_.clear();
+  }
+  metrics::SetGauge("ring_queue_calls", {}, static_cast<double>(queue_.size()));
+  if (queue_.empty()) {
+    return;
+  }
+  RefuseUnservable();
+  RunSuspects();
+  const Cycle cycle = BuildCycle();
+  if (!cycle.calls.empty()) {
+    Apply(cycle, parts_.policy->Decide(cycle.input));
+  }
+}
+
+void Scheduler::RefuseUnservable() {
+  const auto directory = parts_.directory->View();
+  const int64_t now_ms = parts_.clock->NowMs();
+  const std::vector<CallPtr> calls = queue_;
+  for (const CallPtr& call : calls) {
+    const bool served = std::any_of(
+        directory->upstreams.begin(), directory->upstreams.end(),
+        [&](const UpstreamRecord& record) {
+          return record.state == MemberState::kUp &&
+                 Serves(record, call->request);
+        });
+    if (call->cancel.cancelled()) {
+      Reject(call, Refuse(Reason::kCallerGone, "the caller went away"));
+    } else if (now_ms >= std::min(call->call_deadline_ms, call->deadline_ms)) {
+      Reject(call, Refuse(Reason::kDeadlinePassed,
+                          "the deadline passed before the call could start"));
+    } else if (!served) {
+      constexpr int64_t kAnnouncePeriodMs = 1'000;
+      Reject(call, Refuse(Reason::kNoUpstream, "no upstream serves this call",
+                          UniformMs(rng_, kAnnouncePeriodMs,
+                                    2 * kAnnouncePeriodMs)));
+    }
+  }
+}
+
+// Suspects are placed here and not by the policy, because each needs an
+// upstream that is kept free of all other calls until it has run.
+void Scheduler::RunSuspects() {
+  const auto directory = parts_.directory->View();
+  const std::vector<CallPtr> calls = queue_;
+  for (const CallPtr& call : calls) {
+    if (call->suspect.load() && RunSuspect(call, *directory)) {
+      reservations_.erase(call->ticket);
+    }
+  }
+}
+
+bool Scheduler::RunSuspect(const CallPtr& call,
+                           const DirectoryView& directory) {
+  const UpstreamRecord* best = nullptr;
+  const auto held = reservations_.find(call->ticket);
+  const auto cost = [&](const UpstreamRecord& record) {
+    const bool tried = Contains(call->failed, record.id);
+    return std::pair(tried, upstreams_.in_flight(record.id));
+  };
+  for (const UpstreamRecord& record : directory.upstreams) {
+    if (record.state != MemberState::kUp || !Serves(record, call->request)) {
+      continue;
+    }
+    if (held != reservations_.end() && held->second == record.id) {
+      best = &record;
+      break;
+    }
+    if (!upstreams_.reserved(record.id) &&
+        (best == nullptr || cost(record) < cost(*best))) {
+      best = &record;
+    }
+  }
+  if (held != reservations_.end() &&
+      (best == nullptr || held->second != best->id)) {
+    upstreams_.Unreserve(held->second, call->ticket);
+    reservations_.erase(held);
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  upstreams_.Reserve(best->id, call->ticket);
+  reservations_[call->ticket] = best->id;
+  return upstreams_.in_flight(best->id) == 0 && Grant(call, *best, true);
+}
+
+Scheduler::Cycle Scheduler::BuildCycle() {
+  Cycle cycle;
+  cycle.directory = parts_.directory->View();
+  cycle.input.now_ms = parts_.clock->NowMs();
+  cycle.input.seed = rng_();
+  const auto& records = cycle.directory->upstreams;
+  for (size_t i = 0; i < records.size() && i < UINT16_MAX; ++i) {
+    UpstreamView view;
+    view.handle.index = static_cast<uint16_t>(i);
+    view.accepts_work = records[i].state == MemberState::kUp &&
+                        !upstreams_.reserved(records[i].id);
+    upstreams_.Describe(records[i], cycle.input.now_ms, view);
+    cycle.input.upstreams.push_back(view);
+  }
+  for (const CallPtr& call : queue_) {
+    if (!call->suspect.load()) {
+      cycle.calls.push_back(call);
+      cycle.input.queue.push_back(ViewOf(call, cycle));
+    }
+  }
+  constexpr uint64_t kCleanupCycles = 256;
+  if (++cycles_ % kCleanupCycles == 0) {
+    upstreams_.Keep(records);
+  }
+  return cycle;
+}
+
+CallView Scheduler::ViewOf(const CallPtr& call, const Cycle& cycle) const {
+  CallView view;
+  view.ticket = call->ticket;
+  view.program = call->program_key;
+  view.root = call->root_key;
+  view.first_call = call->first_call;
+  view.sub_agent = call->sub_agent;
+  view.idempotent = call->idempotent;
+  view.arrival_ms = call->arrival_ms;
+  view.program_start_ms = call->program_start_ms;
+  view.deadline_ms = std::min(call->deadline_ms, call->call_deadline_ms);
+  view.prompt_tokens = call->prompt_tokens;
+  view.expected_output_tokens =
+      call->request.kind == CallKind::kModel
+          ? statistics_.ExpectedOutput(call->request.max_tokens)
+          : 0;
+  std::map<UpstreamId, int64_t> cached;
+  // The lock may be held during a store call; a decision must not wait for it.
+  std::unique_lock<std::mutex> lock;
+  if (call->session) {
+    lock = std::unique_lock(call->session->mutex, std::try_to_lock);
+  }
+  if (lock.owns_lock()) {
+    cached = call->session->cached;
+    view.attained_service_ms = call->session->attained_service_ms;
+    view.expected_remaining_calls =
+        statistics_.ExpectedRemaining(call->session->state.turns);
+  }
+  const auto& records = cycle.directory->upstreams;
+  for (size_t i = 0; i < cycle.input.upstreams.size(); ++i) {
+    if (!Serves(records[i], call->request)) {
+      continue;
+    }
+    const UpstreamHandle handle = cycle.input.upstreams[i].handle;
+    view.candidates.push_back(handle);
+    if (Contains(call->failed, records[i].id)) {
+      view.failed.push_back(handle);
+    }
+    const auto found = cached.find(records[i].id);
+    if (found != cached.end()) {
+      view.cached.push_back(
+          {handle, std::min(found->second, call->prompt_tokens)});
+    }
+  }
+  return view;
+}
+
+void Scheduler::Apply(const Cycle& cycle, const Decision& decision) {
+  const auto find = [&](uint64_t ticket) -> CallPtr {
+    for (const CallPtr& call : cycle.calls) {
+      if (call->ticket == ticket) {
+        return call;
+      }
+    }
+    return nullptr;
+  };
+  for (const Rejection& rejection : decision.rejections) {
+    if (const CallPtr call = find(rejection.ticket)) {
+      Reject(call, Refuse(rejection.reason, "refused by admission",
+                          rejection.retry_after_ms));
+    }
+  }
+  for (const Assignment& assignment : decision.assignments) {
+    const CallPtr call = find(assignment.ticket);
+    const size_t index = assignment.upstream.index;
+    if (!call || index >= cycle.input.upstreams.size()) {
+      continue;
+    }
+    const UpstreamRecord& record = cycle.directory->upstreams[index];
+    const UpstreamView& view = cycle.input.upstreams[index];
+    // The limit is kept here as well, whatever the policy decides.
+    if (view.accepts_work && upstreams_.in_flight(record.id) < view.limit) {
+      Grant(call, record, false);
+    }
+  }
+}
+
+bool Scheduler::Grant(const CallPtr& call,
+                      const UpstreamRecord& upstream,
+                      bool alone) {
+  if (upstreams_.total_in_flight() >= init_.call_limits.attempt_threads) {
+    return false;
+  }
+  upstreams_.Start(upstream.id, call, alone);
+  if (!tasks_.TryPush({call, upstream, alone, std::nullopt})) {
+    upstreams_.End(upstream.id, call->ticket);
+    return false;
+  }
+  metrics::ObserveMs("ring_queue_wait_ms", {},
+                     static_cast<double>(parts_.clock->NowMs() -
+                                         call->arrival_ms));
+  Remove(call->ticket);
+  return true;
+}
+
+void Scheduler::Reject(const CallPtr& call, const Refusal& refusal) {
+  if (call->begun) {
+    if (!tasks_.TryPush({call, {}, false, refusal})) {
+      return;  // All workers are busy; the call stays and is met again.
+    }
+  } else {
+    refuse_(call, refusal);
+  }
+  const auto held = reservations_.find(call->ticket);
+  if (held != reservations_.end()) {
+    upstreams_.Unreserve(held->second, call->ticket);
+    reservations_.erase(held);
+  }
+  Remove(call->ticket);
+}
+
+void Scheduler::Remove(uint64_t ticket) {
+  waiting_.fetch_sub(std::erase_if(
+      queue_, [&](const CallPtr& call) { return call->ticket == ticket; }));
+}
+
+}  // namespace ring::entry
--- /dev/null
+++ b/src/entry_sessions.cc
@@ -0,0 +1,211 @@
+#include "entry_sessions_p.h"
+
+#include <algorithm>
+
+namespace ring::entry {
+
+const CallRecord* Session::FindRecord(uint64_t sequence) const {
+  for (const CallRecord& record : state.calls) {
+    if (record.sequence == sequence) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+const CallRecord* Session::FindKey(const std::string& idempotency_key) const {
+  if (idempotency_key.empty()) {
+    return nullptr;
+  }
+  for (const CallRecord& record : state.calls) {
+    if (record.idempotency_key == idempotency_key) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+void Session::ApplyFinish(const FinishCall& finish, const Call& call) {
+  CallRecord record;
+  record.sequence = finish.sequence;
+  record.digest = call.request.digest;
+  record.idempotency_key = call.request.idempotency_key;
+  record.idempotent = call.idempotent;
+  record.state = CallState::kFinished;
+  record.epoch = finish.epoch;
+  record.attempt = finish.attempt;
+  record.used_tokens = std::min(finish.used_tokens, call.reserve_tokens);
+  record.run_state = finish.run_state;
+  record.reason = finish.reason;
+  record.http_status = finish.http_status;
+  record.content_type = finish.content_type;
+  record.answer = finish.answer;
+  std::erase_if(state.calls, [&](const CallRecord& old) {
+    return old.sequence == finish.sequence;
+  });
+  state.calls.push_back(record);
+  if (state.calls.size() > kKeptAnswers) {
+    state.calls.erase(state.calls.begin());
+  }
+  state.used_tokens += record.used_tokens;
+  state.next_sequence = std::max(state.next_sequence, finish.sequence + 1);
+  state.turns += 1;
+  state.history.insert(state.history.end(), finish.history_delta.begin(),
+                       finish.history_delta.end());
+}
+
+QuorumGate::QuorumGate(const ClockI& clock, int64_t retry_ms)
+    : clock_(clock), retry_ms_(retry_ms) {}
+
+Status QuorumGate::Check(const std::string& domain) {
+  std::lock_guard lock(mutex_);
+  const auto found = failed_at_ms_.find(domain);
+  if (found == failed_at_ms_.end()) {
+    return Done{};
+  }
+  const int64_t now_ms = clock_.NowMs();
+  const int64_t open_ms = found->second + retry_ms_;
+  if (now_ms < open_ms) {
+    return Refuse(Reason::kNoQuorum,
+                  "the home domain of the program has no quorum",
+                  open_ms - now_ms + retry_ms_);
+  }
+  // This request probes; others are refused until it has an answer.
+  found->second = now_ms;
+  return Done{};
+}
+
+void QuorumGate::Report(const std::string& domain, Reason reason) {
+  std::lock_guard lock(mutex_);
+  if (reason == Reason::kNoQuorum) {
+    failed_at_ms_[domain] = clock_.NowMs();
+  } else {
+    failed_at_ms_.erase(domain);
+  }
+}
+
+SessionTable::SessionTable(const EntryInit& init, const EntryParts& parts)
+    : init_(init),
+      parts_(parts),
+      gate_(*parts.clock, init.call_limits.quorum_retry_ms) {}
+
+void SessionTable::Add(const ProgramState& state) {
+  const SessionPtr session = GetOrCreate(state.id);
+  std::lock_guard lock(session->mutex);
+  Fill(*session, state);
+}
+
+SessionPtr SessionTable::FindCached(const ProgramId& id) const {
+  std::lock_guard lock(mutex_);
+  const auto found = sessions_.find(id.text());
+  return found == sessions_.end() ? nullptr : found->second;
+}
+
+SessionPtr SessionTable::GetOrCreate(const ProgramId& id) {
+  std::lock_guard lock(mutex_);
+  SessionPtr& session = sessions_[id.text()];
+  if (!session) {
+    session = std::make_shared<Session>();
+  }
+  session->last_used_ms = parts_.clock->NowMs();
+  return session;
+}
+
+Outcome<std::variant<SessionPtr, RemoteOwner>> SessionTable::Find(
+    const ProgramId& id,
+    bool take) {
+  using Found = std::variant<SessionPtr, RemoteOwner>;
+  const std::string domain(id.home_domain());
+  SessionPtr session = GetOrCreate(id);
+  std::unique_lock lock(session->mutex);
+  while (FindCached(id) != session) {  // Dropped while this thread waited.
+    lock.unlock();
+    session = GetOrCreate(id);
+    lock = std::unique_lock(session->mutex);
+  }
+  if (session->owned) {
+    return Found(session);
+  }
+  const auto gate = gate_.Check(domain);
+  if (!gate) {
+    return gate.refusal();
+  }
+  if (!take) {
+    const auto owner = parts_.programs->Locate(id);
+    gate_.Report(domain, owner.refusal().reason);
+    if (!owner) {
+      Drop(id);
+      return owner.refusal();
+    }
+    if (!owner->ended && owner->owner != init_.node && !owner->owner.empty()) {
+      Drop(id);
+      return Found(RemoteOwner{owner->owner});
+    }
+  }
+  const auto acquired = Acquire(id, *session);
+  gate_.Report(domain, acquired.refusal().reason);
+  if (!acquired) {
+    Drop(id);
+    return acquired.refusal();
+  }
+  return Found(session);
+}
+
+Status SessionTable::Acquire(const ProgramId& id, Session& session) {
+  const auto state = parts_.programs->Acquire(id, init_.node);
+  if (!state) {
+    return state.refusal();
+  }
+  Fill(session, *state);
+  metrics::Count("ring_program_acquisitions_total");
+  Event(LogLevel::kInfo, "program_acquired")
+      .Add("program", id.log_prefix())
+      .Add("epoch", state->epoch);
+  return Done{};
+}
+
+void SessionTable::Fill(Session& session, const ProgramState& state) {
+  session.state = state;
+  session.owned = true;
+  session.unsent.clear();
+  const int64_t now_ms = parts_.clock->NowMs();
+  const int64_t wall_ms = parts_.clock->WallMs();
+  session.start_ms = now_ms - (wall_ms - state.opened_wall_ms);
+  session.deadline_ms = now_ms + (state.deadline_wall_ms - wall_ms);
+  session.root_key = RootKeyOf(state);
+}
+
+uint64_t SessionTable::RootKeyOf(const ProgramState& state) const {
+  if (!isValid(state.parent)) {
+    return Checksum(state.id.text());
+  }
+  const SessionPtr parent = FindCached(state.parent);
+  const uint64_t root = parent ? parent->root_key.load() : 0;
+  return root != 0 ? root : Checksum(state.parent.text());
+}
+
+void SessionTable::Drop(const ProgramId& id) {
+  std::lock_guard lock(mutex_);
+  sessions_.erase(id.text());
+}
+
+void SessionTable::Evict(int64_t idle_ms) {
+  const int64_t before_ms = parts_.clock->NowMs() - idle_ms;
+  std::lock_guard lock(mutex_);
+  std::erase_if(sessions_, [&](const auto& item) {
+    Session& session = *item.second;
+    if (item.second.use_count() > 1 || session.last_used_ms > before_ms) {
+      return false;
+    }
+    std::unique_lock session_lock(session.mutex, std::try_to_lock);
+    return session_lock && !session.active && !session.uncommitted &&
+           session.unsent.empty();
+  });
+}
+
+size_t SessionTable::size() const {
+  std::lock_guard lock(mutex_);
+  return sessions_.size();
+}
+
+}  // namespace ring::entry
--- /dev/null
+++ b/src/entry_upstreams.cc
@@ -0,0 +1,185 @@
+#include "entry_upstreams_p.h"
+
+#include <algorithm>
+
+namespace ring::entry {
+namespace {
+
+// Weight of a new sample; follows a changed batch within some ten calls.
+constexpr double kSampleWeight = 0.2;
+
+void Blend(double& mean, double sample) {
+  mean += kSampleWeight * (sample - mean);
+}
+
+}  // namespace
+
+UpstreamTable::UpstreamTable(const EntryInit& init) : init_(init) {}
+
+void UpstreamTable::Start(const UpstreamId& id,
+                          const CallPtr& call,
+                          bool alone) {
+  std::lock_guard lock(mutex_);
+  Life& life = lives_[id];
+  life.running[call->ticket] = {call, true};
+  if (alone) {
+    life.reserved_for = call->ticket;
+  }
+  metrics::SetGauge("ring_upstream_in_flight", {{"upstream", id.name}},
+                    static_cast<double>(life.running.size()));
+}
+
+void UpstreamTable::OnFirstToken(const UpstreamId& id, uint64_t ticket) {
+  std::lock_guard lock(mutex_);
+  const auto found = lives_[id].running.find(ticket);
+  if (found != lives_[id].running.end()) {
+    found->second.waits_for_first_token = false;
+  }
+}
+
+void UpstreamTable::End(const UpstreamId& id, uint64_t ticket) {
+  std::lock_guard lock(mutex_);
+  Life& life = lives_[id];
+  life.running.erase(ticket);
+  if (life.reserved_for == ticket) {
+    life.reserved_for = 0;
+  }
+  metrics::SetGauge("ring_upstream_in_flight", {{"upstream", id.name}},
+                    static_cast<double>(life.running.size()));
+}
+
+void UpstreamTable::OnResult(const UpstreamId& id, const EngineResult& result) {
+  std::lock_guard lock(mutex_);
+  Life& life = lives_[id];
+  const int64_t computed = result.prompt_tokens - result.cached_tokens;
+  if (computed > 0 && result.first_token_ms > 0) {
+    Blend(life.prefill_tokens_per_ms, static_cast<double>(computed) /
+                                          static_cast<double>(
+                                              result.first_token_ms));
+  }
+  const int64_t decode_ms = result.total_ms - result.first_token_ms;
+  if (result.output_tokens > 1 && decode_ms > 0) {
+    Blend(life.decode_ms_per_token,
+          static_cast<double>(decode_ms) /
+              static_cast<double>(result.output_tokens - 1));
+  }
+}
+
+int UpstreamTable::MarkSuspects(const UpstreamId& id) {
+  std::lock_guard lock(mutex_);
+  int marked = 0;
+  for (auto& [ticket, running] : lives_[id].running) {
+    marked += running.call->suspect.exchange(true) ? 0 : 1;
+  }
+  return marked;
+}
+
+void UpstreamTable::Reserve(const UpstreamId& id, uint64_t ticket) {
+  std::lock_guard lock(mutex_);
+  Life& life = lives_[id];
+  if (life.reserved_for == 0) {
+    life.reserved_for = ticket;
+  }
+}
+
+void UpstreamTable::Unreserve(const UpstreamId& id, uint64_t ticket) {
+  std::lock_guard lock(mutex_);
+  Life& life = lives_[id];
+  if (life.reserved_for == ticket && !life.running.contains(ticket)) {
+    life.reserved_for = 0;
+  }
+}
+
+bool UpstreamTable::reserved(const UpstreamId& id) const {
+  std::lock_guard lock(mutex_);
+  const auto found = lives_.find(id);
+  return found != lives_.end() && found->second.reserved_for != 0;
+}
+
+int UpstreamTable::in_flight(const UpstreamId& id) const {
+  std::lock_guard lock(mutex_);
+  const auto found = lives_.find(id);
+  return found == lives_.end()
+             ? 0
+             : static_cast<int>(found->second.running.size());
+}
+
+int UpstreamTable::total_in_flight() const {
+  std::lock_guard lock(mutex_);
+  size_t total = 0;
+  for (const auto& [id, life] : lives_) {
+    total += life.running.size();
+  }
+  return static_cast<int>(total);
+}
+
+void UpstreamTable::Describe(const UpstreamRecord& record,
+                             int64_t now_ms,
+                             UpstreamView& view) const {
+  // A report older than this says nothing about the present load.
+  constexpr int64_t kFreshReportMs = 3'000;
+  const CallLimits& limits = init_.call_limits;
+  const bool engine = record.kind == UpstreamKind::kEngine;
+  view.limit = record.max_in_flight > 0
+                   ? record.max_in_flight
+                   : static_cast<int32_t>(engine ? limits.engine_in_flight
+                                                 : limits.service_in_flight);
+  view.link = record.domain == init_.domain   ? LinkClass::kDomain
+              : record.region == init_.region ? LinkClass::kRegion
+                                              : LinkClass::kOtherRegion;
+  view.cache_capacity_tokens = record.load.cache_capacity_tokens;
+  view.cache_used_tokens = record.load.cache_used_tokens;
+  std::lock_guard lock(mutex_);
+  const auto found = lives_.find(record.id);
+  if (found != lives_.end()) {
+    const Life& life = found->second;
+    view.own_in_flight = static_cast<int32_t>(life.running.size());
+    view.isolated = life.reserved_for != 0;
+    view.prefill_tokens_per_ms = life.prefill_tokens_per_ms;
+    view.decode_ms_per_token = life.decode_ms_per_token;
+    for (const auto& [ticket, running] : life.running) {
+      if (running.waits_for_first_token) {
+        view.pending_prefill_tokens += running.call->prompt_tokens;
+      }
+      view.pending_decode_tokens += running.call->request.max_tokens;
+    }
+  }
+  if (now_ms - record.load.reported_at_ms < kFreshReportMs) {
+    view.other_in_flight =
+        std::max(0, record.load.running + record.load.waiting -
+                        view.own_in_flight);
+  }
+}
+
+void UpstreamTable::Keep(const std::vector<UpstreamRecord>& records) {
+  std::lock_guard lock(mutex_);
+  std::erase_if(lives_, [&](const auto& item) {
+    const bool known = std::any_of(
+        records.begin(), records.end(),
+        [&](const UpstreamRecord& record) { return record.id == item.first; });
+    return !known && item.second.running.empty();
+  });
+}
+
+void CallStatistics::OnOutput(int64_t tokens) {
+  std::lock_guard lock(mutex_);
+  Blend(output_tokens_, static_cast<double>(tokens));
+}
+
+void CallStatistics::OnProgramEnd(uint64_t calls) {
+  std::lock_guard lock(mutex_);
+  Blend(calls_per_program_, static_cast<double>(calls));
+}
+
+int64_t CallStatistics::ExpectedOutput(int64_t max_tokens) const {
+  std::lock_guard lock(mutex_);
+  return std::min(max_tokens, static_cast<int64_t>(output_tokens_));
+}
+
+int64_t CallStatistics::ExpectedRemaining(uint64_t calls_so_far) const {
+  std::lock_guard lock(mutex_);
+  return std::max<int64_t>(0, static_cast<int64_t>(calls_per_program_) -
+                                  static_cast<int64_t>(calls_so_far) - 1);
+}
+
+}  // namespace ring::entry
