--- a/include/persimmonring/entry.h
+++ b/include/persimmonring/entry.h
@@ -92,11 +92,11 @@
 
 /// Limits of calls and programs.
 struct CallLimits {
-  int64_t max_queue = 1'000;       ///< Waiting calls.
-  int64_t max_first_queue = 500;   ///< Above it, new programs are refused.
-  int64_t attempt_threads = 64;    ///< Attempts under way at the same time.
+  int64_t max_queue = 1'000;      ///< Waiting calls.
+  int64_t max_first_queue = 500;  ///< Above it, new programs are refused.
+  int64_t attempt_threads = 64;   ///< Attempts under way at the same time.
   int64_t default_max_tokens = 1'024;
-  int64_t max_tokens = 32'768;     ///< Largest max_tokens of a request.
+  int64_t max_tokens = 32'768;  ///< Largest max_tokens of a request.
   int64_t max_messages = 4'096;
   int64_t sequence_wait_ms = 500;  ///< Wait of a call that came too early.
   int64_t default_deadline_ms = 120'000;
@@ -110,7 +110,7 @@
   int64_t service_in_flight = 32;   ///< If the service announces no limit.
   int64_t quorum_retry_ms = 1'000;  ///< Between probes of a domain without
                                     ///< quorum; calls are refused meanwhile.
-  int64_t caller_gone_ms = 2'000;   ///< Queued calls without reader are dropped.
+  int64_t caller_gone_ms = 2'000;  ///< Queued calls without reader are dropped.
 
   auto operator<=>(const CallLimits&) const = default;
 };
@@ -127,9 +127,9 @@
   int64_t drain_notice_ms = 3'000;  ///< Calls of open programs are still taken
                                     ///< while the balancer notices the drain.
   int64_t janitor_period_ms = 1'000;
-  int64_t lease_ms = 10'000;        ///< Of the reconciler.
-  int64_t weight_pace_ms = 1'000;   ///< Between two load orders.
-  uint64_t seed = 0;                ///< 0: from the system's generator.
+  int64_t lease_ms = 10'000;       ///< Of the reconciler.
+  int64_t weight_pace_ms = 1'000;  ///< Between two load orders.
+  uint64_t seed = 0;               ///< 0: from the system's generator.
 };
 
 /// What an entry works with. All must outlive it.
--- a/src/entry_attempts.cc
+++ b/src/entry_attempts.cc
@@ -203,8 +203,9 @@
 }
 
 int64_t AttemptRunner::RemainingMs(const Call& call) const {
-  return std::max<int64_t>(1, std::min(call.deadline_ms, call.call_deadline_ms) -
-                                  parts_.clock->NowMs());
+  return std::max<int64_t>(1,
+                           std::min(call.deadline_ms, call.call_deadline_ms) -
+                               parts_.clock->NowMs());
 }
 
 Outcome<ServiceResult> AttemptRunner::RunService(const AttemptTask& task) {
--- a/src/entry_attempts_model.cc
+++ b/src/entry_attempts_model.cc
@@ -68,8 +68,8 @@
       stop_reading.Cancel();
     }
   };
-  auto result = parts_.engine->Complete(task.upstream, request, sink,
-                                        stop_reading);
+  auto result =
+      parts_.engine->Complete(task.upstream, request, sink, stop_reading);
   if (cut || different || stop_reading.cancelled()) {
     parts_.engine->Cancel(task.upstream, call.attempt);
   }
@@ -145,10 +145,9 @@
   statistics_.OnOutput(result.output_tokens);
   metrics::Count("ring_prompt_tokens_total", {{"source", "cache"}},
                  static_cast<double>(result.cached_tokens));
-  metrics::Count(
-      "ring_prompt_tokens_total", {{"source", "computed"}},
-      static_cast<double>(
-          std::max<int64_t>(0, result.prompt_tokens - result.cached_tokens)));
+  metrics::Count("ring_prompt_tokens_total", {{"source", "computed"}},
+                 static_cast<double>(std::max<int64_t>(
+                     0, result.prompt_tokens - result.cached_tokens)));
   FinalAnswer final =
       AnswerOfCompletion(call->request.model, call->attempt, result);
   FinishCall finish;
--- a/src/entry_calls.cc
+++ b/src/entry_calls.cc
@@ -45,8 +45,7 @@
   if (const auto* remote = std::get_if<RemoteOwner>(&*found)) {
     return Submitted{nullptr, *remote};
   }
-  const auto call =
-      SubmitOwned(request, options, std::get<SessionPtr>(*found));
+  const auto call = SubmitOwned(request, options, std::get<SessionPtr>(*found));
   if (!call) {
     return call.refusal();
   }
@@ -162,8 +161,8 @@
       return Place{Verdict::kDone, active, active->sequence};
     }
   }
-  const CallRecord* record = sequence != 0 ? session.FindRecord(sequence)
-                                           : session.FindKey(key);
+  const CallRecord* record =
+      sequence != 0 ? session.FindRecord(sequence) : session.FindKey(key);
   if (record == nullptr && !active && !session.state.calls.empty() &&
       session.state.calls.back().state == CallState::kBegun) {
     // A former owner began this idempotent call and was lost.
@@ -331,9 +330,9 @@
   call.delta_tokens = CountTokens(new_bytes);
   call.prompt_tokens = CountTokens(call.prompt.size());
   call.reserve_tokens = call.delta_tokens + request.max_tokens;
-  call.content_digest = Sha256Hex(
-      request.model + "\n" + std::to_string(request.max_tokens) + "\n" +
-      request.extra + "\n" + call.prompt);
+  call.content_digest =
+      Sha256Hex(request.model + "\n" + std::to_string(request.max_tokens) +
+                "\n" + request.extra + "\n" + call.prompt);
 }
 
 Status CallService::Enqueue(const CallPtr& call) {
--- /dev/null
+++ b/src/entry_entry.cc
@@ -0,0 +1,266 @@
+// Wiring, drain and status of an entry.
+
+#include <nlohmann/json.hpp>
+
+#include "entry_http_p.h"
+#include "entry_janitor_p.h"
+
+namespace ring {
+
+using nlohmann::json;
+
+class Entry::Impl {
+ public:
+  Impl(const EntryInit& entry_init, const EntryParts& entry_parts)
+      : init(entry_init),
+        parts(entry_parts),
+        tasks(static_cast<size_t>(init.call_limits.attempt_threads)),
+        upstreams(init),
+        sessions(init, parts),
+        scheduler(init, parts, upstreams, statistics, tasks),
+        attempts(init,
+                 parts,
+                 sessions,
+                 upstreams,
+                 statistics,
+                 config,
+                 scheduler,
+                 tasks),
+        calls(init, parts, sessions, config, statistics, scheduler, attempts),
+        forwarder(init, parts, calls),
+        janitor(init, parts, config, sessions, forwarder),
+        front(init, parts, calls, forwarder, [this] { janitor.Kick(); }),
+        http(init.http_limits),
+        admin(AdminLimits(init.http_limits)) {
+    scheduler.OnRefusal(
+        [this](const entry::CallPtr& call, const Refusal& refusal) {
+          attempts.RefuseUnbegun(call, refusal);
+        });
+    if (parts.hub != nullptr) {
+      forwarder.Attach(*parts.hub);
+    }
+    front.Register(http);
+    RegisterAdmin();
+  }
+
+  static HttpLimits AdminLimits(HttpLimits limits) {
+    constexpr int64_t kAdminThreads = 4;
+    limits.threads = kAdminThreads;
+    limits.max_waiting = kAdminThreads * 2;
+    return limits;
+  }
+
+  void RegisterAdmin() {
+    using Request = httplib::Request;
+    using Response = httplib::Response;
+    admin.Get("/healthz", [](const Request&, Response& out) {
+      out.set_content("ok\n", "text/plain");
+    });
+    admin.Get("/readyz", [this](const Request&, Response& out) {
+      const bool ready = drain_started_ms.load() == 0;
+      out.status = ready ? 200 : 503;
+      out.set_content(ready ? "ready\n" : "draining\n", "text/plain");
+    });
+    admin.Get("/admin/status", [this](const Request&, Response& out) {
+      out.set_content(StatusText(), "application/json");
+    });
+    admin.Post("/admin/drain", [this](const Request&, Response& out) {
+      BeginDrain();
+      out.set_content("{\"draining\":true}", "application/json");
+    });
+  }
+
+  void BeginDrain() {
+    int64_t none = 0;
+    const int64_t now_ms = std::max<int64_t>(1, parts.clock->NowMs());
+    if (drain_started_ms.compare_exchange_strong(none, now_ms)) {
+      calls.RefusePrograms();
+      Event(LogLevel::kInfo, "drain_started");
+    }
+  }
+
+  // Calls of open programs are taken until the balancer has noticed; then
+  // connections end after their present request.
+  void StepDrain() {
+    const int64_t started_ms = drain_started_ms.load();
+    if (started_ms == 0 || closing.load() ||
+        parts.clock->NowMs() - started_ms < init.drain_notice_ms) {
+      return;
+    }
+    calls.RefuseCalls();
+    http.CloseIdle();
+    closing.store(true);
+  }
+
+  bool Idle() const {
+    return http.active() == 0 && forwarder.under_way() == 0 &&
+           scheduler.waiting() == 0 && upstreams.total_in_flight() == 0 &&
+           attempts.busy() == 0;
+  }
+
+  std::string StatusText() const {
+    json list = json::array();
+    for (const UpstreamRecord& record : parts.directory->View()->upstreams) {
+      list.push_back({{"name", record.id.name},
+                      {"incarnation", record.id.incarnation},
+                      {"domain", record.domain},
+                      {"leaving", record.state == MemberState::kLeaving},
+                      {"up", record.state == MemberState::kUp},
+                      {"isolated", upstreams.reserved(record.id)},
+                      {"in_flight", upstreams.in_flight(record.id)}});
+    }
+    const auto view = config.View();
+    const json status = {{"node", init.node},
+                         {"domain", init.domain},
+                         {"draining", drain_started_ms.load() != 0},
+                         {"queue", scheduler.waiting()},
+                         {"in_flight", upstreams.total_in_flight()},
+                         {"programs", sessions.size()},
+                         {"forwarded", forwarder.under_way()},
+                         {"control_version", view->version},
+                         {"note_number", view->note_number},
+                         {"quarantined", view->quarantined.size()},
+                         {"fence", janitor.fence()},
+                         {"upstreams", list}};
+    return status.dump();
+  }
+
+  void AddDuties(Supervisor& supervisor) {
+    constexpr int kSubmitThreads = 16;
+    const auto stop_http = [](entry::HttpServer& server) {
+      return [&server] { server.stop(); };
+    };
+    supervisor.AddDuty("scheduler", [this](const StopToken& stop) {
+      return scheduler.Run(stop);
+    });
+    for (int64_t i = 0; i < init.call_limits.attempt_threads; ++i) {
+      supervisor.AddDuty("attempt", [this](const StopToken& stop) {
+        return attempts.Run(stop);
+      });
+    }
+    for (int i = 0; i < kSubmitThreads; ++i) {
+      supervisor.AddDuty("forward", [this](const StopToken& stop) {
+        return forwarder.RunSubmit(stop);
+      });
+    }
+    supervisor.AddDuty("relay", [this](const StopToken& stop) {
+      return forwarder.RunRelay(stop);
+    });
+    supervisor.AddDuty(
+        "janitor", [this](const StopToken& stop) { return janitor.Run(stop); });
+    supervisor.AddDuty("drain", [this](const StopToken& stop) {
+      constexpr int64_t kPeriodMs = 20;
+      while (!stop.WaitFor(kPeriodMs)) {
+        StepDrain();
+      }
+      return Status(Done{});
+    });
+    supervisor.AddDuty(
+        "http", [this](const StopToken& stop) { return Listen(http, stop); },
+        stop_http(http));
+    supervisor.AddDuty(
+        "admin", [this](const StopToken& stop) { return Listen(admin, stop); },
+        stop_http(admin));
+  }
+
+  static Status Listen(entry::HttpServer& server, const StopToken& stop) {
+    const bool served = server.listen_after_bind();
+    if (served || stop.stopped()) {
+      return Done{};
+    }
+    return Refusal{Reason::kStorageFailed, RunState::kNotRun,
+                   "the listener failed"};
+  }
+
+  const EntryInit init;
+  const EntryParts parts;
+  entry::RingConfig config;
+  entry::CallStatistics statistics;
+  BoundedRing<entry::AttemptTask> tasks;
+  entry::UpstreamTable upstreams;
+  entry::SessionTable sessions;
+  entry::Scheduler scheduler;
+  entry::AttemptRunner attempts;
+  entry::CallService calls;
+  entry::Forwarder forwarder;
+  entry::Janitor janitor;
+  entry::FrontEnd front;
+  entry::HttpServer http;
+  entry::HttpServer admin;
+  uint16_t http_port = 0;
+  uint16_t admin_port = 0;
+  std::atomic<int64_t> drain_started_ms{0};
+  std::atomic<bool> closing{false};
+};
+
+Outcome<std::unique_ptr<Entry>> Entry::Create(const EntryInit& init,
+                                              const EntryParts& parts) {
+  RING_CHECK(parts.clock && parts.programs && parts.control &&
+             parts.directory && parts.engine && parts.service && parts.policy &&
+             parts.retries);
+  auto impl = std::make_unique<Impl>(init, parts);
+  const auto http_port = impl->http.Bind(init.http);
+  if (!http_port) {
+    return http_port.refusal();
+  }
+  const auto admin_port = impl->admin.Bind(init.admin);
+  if (!admin_port) {
+    return admin_port.refusal();
+  }
+  impl->http_port = *http_port;
+  impl->admin_port = *admin_port;
+  return std::unique_ptr<Entry>(new Entry(std::move(impl)));
+}
+
+Entry::Entry(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Entry::~Entry() = default;
+
+void Entry::AddDuties(Supervisor& supervisor) {
+  impl_->AddDuties(supervisor);
+}
+
+void Entry::Attach(HubI& hub) {
+  impl_->forwarder.Attach(hub);
+}
+
+void Entry::BeginDrain() {
+  impl_->BeginDrain();
+}
+
+bool Entry::draining() const {
+  return impl_->drain_started_ms.load() != 0;
+}
+
+bool Entry::drained() const {
+  return impl_->closing.load() && impl_->Idle();
+}
+
+uint16_t Entry::http_port() const {
+  return impl_->http_port;
+}
+
+uint16_t Entry::admin_port() const {
+  return impl_->admin_port;
+}
+
+std::string Entry::StatusJson() const {
+  return impl_->StatusText();
+}
+
+void Entry::OnControlPush(uint64_t version) {
+  impl_->janitor.OnPush(version);
+}
+
+void Entry::OnOpened(SessionHandle, const PeerInfo&) {}
+
+void Entry::OnFrame(SessionHandle session,
+                    const PeerInfo&,
+                    const Frame& frame) {
+  impl_->forwarder.OnFrame(session, frame);
+}
+
+void Entry::OnClosed(SessionHandle session, const PeerInfo&, Reason) {
+  impl_->forwarder.OnClosed(session);
+}
+
+}  // namespace ring
--- a/src/entry_format.cc
+++ b/src/entry_format.cc
@@ -199,7 +199,10 @@
     if ((byte & 0xC0) == 0x80) {
       continue;
     }
-    const size_t length = byte >= 0xF0 ? 4 : byte >= 0xE0 ? 3 : byte >= 0xC0 ? 2 : 1;
+    const size_t length = byte >= 0xF0   ? 4
+                          : byte >= 0xE0 ? 3
+                          : byte >= 0xC0 ? 2
+                                         : 1;
     return length > back ? text.size() - back : text.size();
   }
   return text.size();
--- a/src/entry_forward_p.h
+++ b/src/entry_forward_p.h
@@ -57,6 +57,7 @@
     uint64_t correlation = 0;
     std::shared_ptr<AnswerStream> source;
     std::shared_ptr<AnswerStream> target;  ///< Valid if there is no session.
+    std::string expected;  ///< Start of the source that the target has.
     size_t offset = 0;
     bool done = false;
   };
@@ -73,6 +74,7 @@
   void RunTakeover(const Job& job);
   void TakeOver(Outbound outbound);
   bool IsWanted(const Job& job) const;
+  void FailTakeover(AnswerStream& answer);
   void AddRelay(Relay relay);
   void Step(Relay& relay);
   void StepLocal(Relay& relay, const AnswerStream::Piece& piece);
--- /dev/null
+++ b/src/entry_forward_relay.cc
@@ -0,0 +1,241 @@
+// Forwarding, side of the owner, and calls taken over from a lost owner.
+
+#include <algorithm>
+
+#include "entry_forward_p.h"
+#include "forward.generated.h"
+
+namespace ring::entry {
+namespace {
+
+std::string Pack(flatbuffers::FlatBufferBuilder& builder) {
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+std::string EncodeChunk(size_t offset, const std::string& text) {
+  fb::ForwardChunkT table;
+  table.offset = offset;
+  table.text.assign(text.begin(), text.end());
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(fb::ForwardChunk::Pack(builder, &table));
+  return Pack(builder);
+}
+
+std::string EncodeEnd(const FinalAnswer& final) {
+  fb::ForwardEndT table;
+  table.http_status = final.http_status;
+  table.content_type = final.content_type;
+  table.body.assign(final.body.begin(), final.body.end());
+  table.finish_reason = final.finish_reason;
+  table.tool_calls = final.tool_calls;
+  table.usage = final.usage;
+  table.reason = ToString(final.refusal.reason);
+  table.run_state = static_cast<uint8_t>(final.refusal.run_state);
+  table.message = final.refusal.message;
+  table.retry_after_ms = final.refusal.retry_after_ms;
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(fb::ForwardEnd::Pack(builder, &table));
+  return Pack(builder);
+}
+
+}  // namespace
+
+Status Forwarder::RunSubmit(const StopToken& stop) {
+  while (!stop.stopped()) {
+    const auto job = jobs_.Pop(100);
+    if (job && isValid(job->session)) {
+      RunInbound(*job);
+    } else if (job) {
+      RunTakeover(*job);
+    }
+  }
+  return Done{};
+}
+
+bool Forwarder::IsWanted(const Job& job) const {
+  std::lock_guard lock(mutex_);
+  return inbound_.contains({job.session, job.correlation});
+}
+
+void Forwarder::RunInbound(const Job& job) {
+  // The origin was lost or its caller is gone. It may have taken the program
+  // over already, and submitting the call would take it back.
+  if (!IsWanted(job)) {
+    return;
+  }
+  const auto refuse = [&](const Refusal& refusal) {
+    metrics::CountRefusal(refusal.reason);
+    SendEnd(job.session, job.correlation, AnswerOfRefusal(refusal));
+  };
+  const auto request = ParseCall(job.raw, init_.call_limits);
+  if (!request) {
+    refuse(request.refusal());
+    return;
+  }
+  const auto submitted = calls_.Submit(*request, {});
+  if (!submitted) {
+    refuse(submitted.refusal());
+    return;
+  }
+  if (submitted->remote) {
+    refuse(Refuse(Reason::kLostOwnership, "another entry owns the program", 1));
+    return;
+  }
+  const CallPtr call = submitted->call;
+  Relay relay;
+  relay.session = job.session;
+  relay.correlation = job.correlation;
+  relay.source = std::shared_ptr<AnswerStream>(call, &call->answer);
+  AddRelay(std::move(relay));
+}
+
+void Forwarder::RunTakeover(const Job& job) {
+  const std::string prefix = job.answer->text();
+  const auto submitted = calls_.Submit(job.request, {true, prefix});
+  if (!submitted) {
+    Refusal refusal = submitted.refusal();
+    // The lost owner may have run the call.
+    refusal.run_state = RunState::kUnknown;
+    job.answer->Finish(AnswerOfRefusal(refusal));
+    takeovers_.fetch_sub(1);
+    return;
+  }
+  const CallPtr call = submitted->call;
+  Relay relay;
+  relay.source = std::shared_ptr<AnswerStream>(call, &call->answer);
+  relay.target = job.answer;
+  // The source's text follows the prefix that the call was started with.
+  const std::string& base = call->prefix;
+  const size_t common = std::min(base.size(), prefix.size());
+  if (base.compare(0, common, prefix, 0, common) != 0) {
+    FailTakeover(*job.answer);
+    return;
+  }
+  job.answer->Append(base.substr(common));
+  relay.expected = prefix.substr(common);
+  relay.offset = relay.expected.size();
+  AddRelay(std::move(relay));
+}
+
+void Forwarder::FailTakeover(AnswerStream& answer) {
+  answer.Finish(AnswerOfRefusal(
+      Refuse(Reason::kUpstreamError,
+             "the call ran again with another text after its owner was lost", 0,
+             RunState::kUnknown)));
+  takeovers_.fetch_sub(1);
+}
+
+void Forwarder::AddRelay(Relay relay) {
+  const auto source = relay.source;
+  source->AddReader();
+  {
+    std::lock_guard lock(mutex_);
+    relays_.push_back(std::move(relay));
+  }
+  source->Observe([this] { relay_wake_.TryPush(1); });
+  relay_wake_.TryPush(1);
+}
+
+Status Forwarder::RunRelay(const StopToken& stop) {
+  while (!stop.stopped()) {
+    relay_wake_.Pop(50);
+    std::vector<Relay> relays;
+    {
+      std::lock_guard lock(mutex_);
+      relays = relays_;
+    }
+    for (Relay& relay : relays) {
+      if (!relay.done) {
+        Step(relay);
+      }
+    }
+    std::lock_guard lock(mutex_);
+    for (const Relay& stepped : relays) {
+      for (Relay& relay : relays_) {
+        if (relay.source == stepped.source &&
+            relay.correlation == stepped.correlation &&
+            relay.session == stepped.session) {
+          relay.offset = stepped.offset;
+          relay.done = relay.done || stepped.done;
+        }
+      }
+    }
+    std::erase_if(relays_, [](const Relay& relay) {
+      if (relay.done) {
+        relay.source->RemoveReader();
+      }
+      return relay.done;
+    });
+  }
+  return Done{};
+}
+
+void Forwarder::Step(Relay& relay) {
+  const auto piece = relay.source->Read(relay.offset, 0);
+  if (relay.target) {
+    StepLocal(relay, piece);
+  } else {
+    StepRemote(relay, piece);
+  }
+}
+
+void Forwarder::StepLocal(Relay& relay, const AnswerStream::Piece& piece) {
+  const bool refused =
+      piece.final && piece.final->refusal.reason != Reason::kNone;
+  if (!refused && !relay.expected.empty() &&
+      (piece.final || !piece.text.empty()) &&
+      !relay.source->text().starts_with(relay.expected)) {
+    relay.done = true;
+    FailTakeover(*relay.target);
+    return;
+  }
+  relay.target->Append(piece.text);
+  relay.offset += piece.text.size();
+  if (piece.final) {
+    relay.target->Finish(*piece.final);
+    relay.done = true;
+    takeovers_.fetch_sub(1);
+  }
+}
+
+void Forwarder::StepRemote(Relay& relay, const AnswerStream::Piece& piece) {
+  // Well below the largest frame.
+  constexpr size_t kChunkBytes = 1u << 20;
+  for (size_t done = 0; done < piece.text.size(); done += kChunkBytes) {
+    const std::string text = piece.text.substr(done, kChunkBytes);
+    const auto sent = hub_->Send(
+        relay.session, {FrameKind::ForwardChunk, "", relay.correlation,
+                        EncodeChunk(relay.offset, text)});
+    if (!sent) {
+      // A full queue is met again; a closed session is reported by OnClosed.
+      relay.done = sent.refusal().reason != Reason::kQueueFull;
+      return;
+    }
+    relay.offset += text.size();
+  }
+  if (piece.final && SendEnd(relay.session, relay.correlation, *piece.final)) {
+    relay.done = true;
+  }
+}
+
+bool Forwarder::SendEnd(SessionHandle session,
+                        uint64_t correlation,
+                        const FinalAnswer& final) {
+  Frame frame{FrameKind::ForwardEnd, "", correlation, EncodeEnd(final)};
+  auto sent = hub_->Send(session, frame);
+  if (!sent && sent.refusal().reason == Reason::kBodyTooLarge) {
+    frame.payload = EncodeEnd(AnswerOfRefusal(
+        Refuse(Reason::kBodyTooLarge, "the answer is too large to be forwarded",
+               0, RunState::kRan)));
+    sent = hub_->Send(session, frame);
+  }
+  if (!sent && sent.refusal().reason == Reason::kQueueFull) {
+    return false;
+  }
+  std::lock_guard lock(mutex_);
+  inbound_.erase({session, correlation});
+  return true;
+}
+
+}  // namespace ring::entry
--- a/src/entry_http.cc
+++ b/src/entry_http.cc
@@ -118,14 +118,12 @@
              [this](const Request& in, Response& out) {
                ReadProgram(in, out, false);
              });
-  server.Get(R"(/v1/programs/([^/]+)/history)",
-             [this](const Request& in, Response& out) {
-               ReadProgram(in, out, true);
-             });
-  server.Delete(R"(/v1/programs/([^/]+))",
-                [this](const Request& in, Response& out) {
-                  EndProgram(in, out);
-                });
+  server.Get(
+      R"(/v1/programs/([^/]+)/history)",
+      [this](const Request& in, Response& out) { ReadProgram(in, out, true); });
+  server.Delete(
+      R"(/v1/programs/([^/]+))",
+      [this](const Request& in, Response& out) { EndProgram(in, out); });
   const auto call = [this](const Request& in, Response& out) {
     RunCall(in, out);
   };
@@ -267,8 +265,7 @@
   if (stream && !(refused && piece.text.empty())) {
     const auto reader = std::make_shared<SseReader>(answer, forwarder_);
     response.set_chunked_content_provider(
-        "text/event-stream",
-        [reader](size_t, httplib::DataSink& sink) {
+        "text/event-stream", [reader](size_t, httplib::DataSink& sink) {
           return reader->Write(sink);
         });
     return;
--- a/src/entry_http_p.h
+++ b/src/entry_http_p.h
@@ -19,7 +19,8 @@
   void Register(HttpServer& server);
 
  private:
-  void OpenProgram(const httplib::Request& request, httplib::Response& response);
+  void OpenProgram(const httplib::Request& request,
+                   httplib::Response& response);
   void ReadProgram(const httplib::Request& request,
                    httplib::Response& response,
                    bool history);
--- a/src/entry_http_server.cc
+++ b/src/entry_http_server.cc
@@ -103,19 +103,18 @@
       [this](const httplib::Request& request, httplib::Response& response) {
         return CheckHead(request, response);
       });
-  set_error_handler(
-      [](const httplib::Request&, httplib::Response& response) {
-        if (!response.body.empty()) {
-          return;
-        }
-        const int status = response.status;
-        const Reason reason = status == 404   ? Reason::kUnknownPath
-                              : status == 413 ? Reason::kBodyTooLarge
-                              : status >= 500 ? Reason::kInternal
-                                              : Reason::kBadRequest;
-        metrics::CountRefusal(reason);
-        SetRefusal(response, Refuse(reason, "the request cannot be served"));
-      });
+  set_error_handler([](const httplib::Request&, httplib::Response& response) {
+    if (!response.body.empty()) {
+      return;
+    }
+    const int status = response.status;
+    const Reason reason = status == 404   ? Reason::kUnknownPath
+                          : status == 413 ? Reason::kBodyTooLarge
+                          : status >= 500 ? Reason::kInternal
+                                          : Reason::kBadRequest;
+    metrics::CountRefusal(reason);
+    SetRefusal(response, Refuse(reason, "the request cannot be served"));
+  });
   set_exception_handler([](const httplib::Request&, httplib::Response& response,
                            const std::exception_ptr&) {
     SetRefusal(response, Refuse(Reason::kInternal, "internal error", 0,
@@ -223,8 +222,8 @@
 }
 
 void HttpServer::RefuseConnection(ConnectionStream& stream) const {
-  const Refusal refusal = Refuse(Reason::kConnectionLimit,
-                                 "too many connections", kRetryAfterMs);
+  const Refusal refusal =
+      Refuse(Reason::kConnectionLimit, "too many connections", kRetryAfterMs);
   metrics::CountRefusal(refusal.reason);
   const std::string body = ErrorBody(refusal);
   const std::string text =
--- a/src/entry_http_stream.cc
+++ b/src/entry_http_stream.cc
@@ -58,9 +58,8 @@
 bool ConnectionStream::PeerClosed() const {
   char byte = 0;
   const ssize_t count = recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 ||
-         (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-          errno != EINTR);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                        errno != EINTR);
 }
 
 bool ConnectionStream::is_readable() const {
@@ -89,8 +88,7 @@
 }
 
 ssize_t ConnectionStream::read(char* data, size_t size) {
-  if (violated_ ||
-      (buffer_position_ >= buffer_.size() && !FillBuffer())) {
+  if (violated_ || (buffer_position_ >= buffer_.size() && !FillBuffer())) {
     return violated_ ? -1 : 0;
   }
   // The deadline holds for the whole part, also if each byte comes in time.
@@ -159,8 +157,8 @@
     if (!WaitFor(socket_, POLLOUT, limits_.write_time_ms)) {
       return -1;
     }
-    const ssize_t count = send(socket_, data + sent, size - sent,
-                               MSG_NOSIGNAL | MSG_DONTWAIT);
+    const ssize_t count =
+        send(socket_, data + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
       continue;
     }
--- /dev/null
+++ b/src/entry_janitor.cc
@@ -0,0 +1,112 @@
+#include "entry_janitor_p.h"
+
+#include <algorithm>
+
+namespace ring::entry {
+
+Janitor::Janitor(const EntryInit& init,
+                 const EntryParts& parts,
+                 RingConfig& config,
+                 SessionTable& sessions,
+                 Forwarder& forwarder)
+    : init_(init),
+      parts_(parts),
+      config_(config),
+      sessions_(sessions),
+      forwarder_(forwarder),
+      wake_(1) {}
+
+void Janitor::Kick() {
+  wake_.TryPush(1);
+}
+
+void Janitor::OnPush(uint64_t version) {
+  if (version > config_.View()->version) {
+    Kick();
+  }
+}
+
+Status Janitor::Run(const StopToken& stop) {
+  while (!stop.stopped()) {
+    Step();
+    wake_.Pop(init_.janitor_period_ms);
+  }
+  return Done{};
+}
+
+void Janitor::Step() {
+  forwarder_.ConnectEntries();
+  PollControl();
+  ReleaseCaches();
+  Reconcile();
+  sessions_.Evict(init_.call_limits.default_idle_ms);
+}
+
+void Janitor::PollControl() {
+  const auto have = config_.View();
+  const auto view =
+      parts_.control->Poll(init_.node, have->version, have->quarantine_version);
+  if (!view) {
+    metrics::Count("ring_control_poll_failures_total",
+                   {{"reason", ToString(view.refusal().reason)}});
+    return;
+  }
+  if (config_.Update(*view)) {
+    const auto now = config_.View();
+    metrics::SetGauge("ring_control_version", {},
+                      static_cast<double>(now->version));
+    Event(LogLevel::kInfo, "control_version")
+        .Add("version", now->version)
+        .Add("quarantine_version", now->quarantine_version);
+  }
+}
+
+void Janitor::ReleaseCaches() {
+  constexpr size_t kReleasesPerPass = 64;
+  const auto gate = sessions_.gate().Check(init_.domain);
+  if (!gate) {
+    return;
+  }
+  const auto pending =
+      parts_.programs->PendingReleases(init_.domain, kReleasesPerPass);
+  sessions_.gate().Report(init_.domain, pending.refusal().reason);
+  if (!pending) {
+    return;
+  }
+  metrics::SetGauge("ring_pending_releases", {},
+                    static_cast<double>(pending->size()));
+  for (const PendingRelease& release : *pending) {
+    Release(release);
+  }
+}
+
+void Janitor::Release(const PendingRelease& release) {
+  const auto directory = parts_.directory->View();
+  const auto found =
+      std::find_if(directory->upstreams.begin(), directory->upstreams.end(),
+                   [&](const UpstreamRecord& record) {
+                     return record.id.name == release.upstream.name;
+                   });
+  // An upstream that is not known may only not have announced itself to this
+  // entry yet; its memory is gone for certain once a later life is known.
+  constexpr int64_t kForgottenMs = 60'000;
+  const bool known = found != directory->upstreams.end();
+  const bool gone =
+      known ? found->id.incarnation > release.upstream.incarnation
+            : parts_.clock->WallMs() - release.ended_wall_ms > kForgottenMs;
+  bool released = gone;
+  if (!gone && known && found->id == release.upstream &&
+      found->state != MemberState::kDown) {
+    released = parts_.engine->ReleaseCache(*found, release.program.text()).ok();
+  }
+  if (!released) {
+    metrics::Count("ring_release_failures_total");
+    return;
+  }
+  if (parts_.programs->ConfirmRelease(release.program, release.upstream)) {
+    metrics::Count("ring_releases_total",
+                   {{"how", gone ? "incarnation_gone" : "acknowledged"}});
+  }
+}
+
+}  // namespace ring::entry
--- /dev/null
+++ b/src/entry_reconcile.cc
@@ -0,0 +1,81 @@
+// Orders to engines: one entry of a domain holds the lease and its fence.
+
+#include "entry_janitor_p.h"
+
+namespace ring::entry {
+
+bool Janitor::HoldsLease() {
+  const int64_t now_ms = parts_.clock->NowMs();
+  // Renewed at half its time; without a renewal nothing is sent any more.
+  const int64_t renew_ms = init_.lease_ms / 2;
+  if (lease_until_ms_ - now_ms > renew_ms) {
+    return true;
+  }
+  if (now_ms - lease_tried_ms_ < renew_ms / 2) {
+    return now_ms < lease_until_ms_;
+  }
+  lease_tried_ms_ = now_ms;
+  const auto lease =
+      parts_.control->AcquireLease(init_.domain, init_.node, init_.lease_ms);
+  if (lease) {
+    // Counted from before the request, so that it ends here first.
+    lease_until_ms_ = now_ms + lease->duration_ms;
+    fence_.store(lease->fence);
+  }
+  metrics::SetGauge("ring_reconciler_fence", {},
+                    static_cast<double>(lease ? lease->fence : 0));
+  return parts_.clock->NowMs() < lease_until_ms_;
+}
+
+// The state is read before orders are planned, each pass anew. An upstream that
+// ignores fences may have obeyed an old holder of the lease; its report shows
+// that, and it is ordered again.
+void Janitor::Reconcile() {
+  if (config_.View()->version == 0 || !HoldsLease()) {
+    return;
+  }
+  std::map<std::string, UpstreamRecord> engines;
+  std::vector<UpstreamReport> reports;
+  for (const UpstreamRecord& record : parts_.directory->View()->upstreams) {
+    const bool mine = record.kind == UpstreamKind::kEngine &&
+                      record.domain == init_.domain &&
+                      record.state == MemberState::kUp;
+    const auto state = mine ? parts_.engine->ReadState(record)
+                            : Outcome<std::string>(Refusal{});
+    if (state) {
+      engines[record.id.name] = record;
+      reports.push_back({record.id.name, *state});
+    }
+  }
+  // The weight store is rate-limited: one load at a time for each domain.
+  const size_t loads = parts_.clock->NowMs() >= next_load_ms_ ? 1 : 0;
+  for (const PlannedOrder& order :
+       PlanOrders(config_.View()->items, reports, fence_.load(), loads)) {
+    if (!SendOrder(engines[order.upstream], order)) {
+      return;
+    }
+  }
+}
+
+bool Janitor::SendOrder(const UpstreamRecord& engine,
+                        const PlannedOrder& planned) {
+  if (parts_.clock->NowMs() >= lease_until_ms_) {
+    return false;
+  }
+  const auto sent = parts_.engine->Order(
+      engine, {planned.fence, planned.action, planned.model, planned.version,
+               planned.adapter, planned.role});
+  metrics::Count("ring_orders_total",
+                 {{"action", planned.action},
+                  {"result", ToString(sent.refusal().reason)}});
+  if (sent.refusal().reason == Reason::kStaleFence) {
+    lease_until_ms_ = 0;  // Another entry holds a later lease.
+    return false;
+  }
+  if (planned.action.starts_with("load")) {
+    next_load_ms_ = parts_.clock->NowMs() + init_.weight_pace_ms;
+  }
+  return true;
+}
+
+}  // namespace ring::entry
--- a/src/entry_request.cc
+++ b/src/entry_request.cc
@@ -37,9 +37,9 @@
   if (found == object.end() || found->is_null()) {
     return fallback;
   }
-  const bool fits = found->is_number_integer() &&
-                    !(found->is_number_unsigned() &&
-                      found->get<uint64_t>() > INT64_MAX);
+  const bool fits =
+      found->is_number_integer() &&
+      !(found->is_number_unsigned() && found->get<uint64_t>() > INT64_MAX);
   if (!fits || found->get<int64_t>() < low || found->get<int64_t>() > high) {
     return Bad(std::string(key) + " must be an integer from " +
                std::to_string(low) + " to " + std::to_string(high));
@@ -120,10 +120,10 @@
   if (!model) {
     return model.refusal();
   }
-  const auto max_tokens = ReadInt(
-      *body, "max_tokens",
-      std::min(limits.default_max_tokens, limits.max_tokens), 1,
-      limits.max_tokens);
+  const auto max_tokens =
+      ReadInt(*body, "max_tokens",
+              std::min(limits.default_max_tokens, limits.max_tokens), 1,
+              limits.max_tokens);
   if (!max_tokens) {
     return max_tokens.refusal();
   }
@@ -274,9 +274,8 @@
   }
   const auto team = ReadText(*object, "team", true, kMaxName);
   const auto budget = ReadInt(*object, "budget_tokens", 0, 1, kMaxBudget);
-  const auto deadline =
-      ReadInt(*object, "deadline_ms", limits.max_deadline_ms, 1,
-              limits.max_deadline_ms);
+  const auto deadline = ReadInt(*object, "deadline_ms", limits.max_deadline_ms,
+                                1, limits.max_deadline_ms);
   const auto idle = ReadInt(*object, "idle_limit_ms", limits.default_idle_ms, 1,
                             limits.max_deadline_ms);
   const auto parent = ReadText(*object, "parent", false, kMaxName);
--- a/src/entry_scheduler.cc
+++ b/src/entry_scheduler.cc
@@ -134,12 +134,12 @@
   const int64_t now_ms = parts_.clock->NowMs();
   const std::vector<CallPtr> calls = queue_;
   for (const CallPtr& call : calls) {
-    const bool served = std::any_of(
-        directory->upstreams.begin(), directory->upstreams.end(),
-        [&](const UpstreamRecord& record) {
-          return record.state == MemberState::kUp &&
-                 Serves(record, call->request);
-        });
+    const bool served =
+        std::any_of(directory->upstreams.begin(), directory->upstreams.end(),
+                    [&](const UpstreamRecord& record) {
+                      return record.state == MemberState::kUp &&
+                             Serves(record, call->request);
+                    });
     if (call->cancel.cancelled()) {
       Reject(call, Refuse(Reason::kCallerGone, "the caller went away"));
     } else if (now_ms >= std::min(call->call_deadline_ms, call->deadline_ms)) {
@@ -147,9 +147,9 @@
                           "the deadline passed before the call could start"));
     } else if (!served) {
       constexpr int64_t kAnnouncePeriodMs = 1'000;
-      Reject(call, Refuse(Reason::kNoUpstream, "no upstream serves this call",
-                          UniformMs(rng_, kAnnouncePeriodMs,
-                                    2 * kAnnouncePeriodMs)));
+      Reject(call,
+             Refuse(Reason::kNoUpstream, "no upstream serves this call",
+                    UniformMs(rng_, kAnnouncePeriodMs, 2 * kAnnouncePeriodMs)));
     }
   }
 }
@@ -315,9 +315,9 @@
     upstreams_.End(upstream.id, call->ticket);
     return false;
   }
-  metrics::ObserveMs("ring_queue_wait_ms", {},
-                     static_cast<double>(parts_.clock->NowMs() -
-                                         call->arrival_ms));
+  metrics::ObserveMs(
+      "ring_queue_wait_ms", {},
+      static_cast<double>(parts_.clock->NowMs() - call->arrival_ms));
   Remove(call->ticket);
   return true;
 }
--- a/src/entry_text.cc
+++ b/src/entry_text.cc
@@ -73,8 +73,7 @@
 
 bool TextAssembler::Consistent() {
   const size_t common = std::min(text_.size(), released_.size());
-  mismatch_ =
-      mismatch_ || text_.compare(0, common, released_, 0, common) != 0;
+  mismatch_ = mismatch_ || text_.compare(0, common, released_, 0, common) != 0;
   return !mismatch_;
 }
 
@@ -82,7 +81,8 @@
   if (end <= released_.size()) {
     return;
   }
-  const std::string next = text_.substr(released_.size(), end - released_.size());
+  const std::string next =
+      text_.substr(released_.size(), end - released_.size());
   released_ += next;
   answer_.Append(next);
 }
--- a/src/entry_upstreams.cc
+++ b/src/entry_upstreams.cc
@@ -53,9 +53,9 @@
   Life& life = lives_[id];
   const int64_t computed = result.prompt_tokens - result.cached_tokens;
   if (computed > 0 && result.first_token_ms > 0) {
-    Blend(life.prefill_tokens_per_ms, static_cast<double>(computed) /
-                                          static_cast<double>(
-                                              result.first_token_ms));
+    Blend(life.prefill_tokens_per_ms,
+          static_cast<double>(computed) /
+              static_cast<double>(result.first_token_ms));
   }
   const int64_t decode_ms = result.total_ms - result.first_token_ms;
   if (result.output_tokens > 1 && decode_ms > 0) {
@@ -99,9 +99,8 @@
 int UpstreamTable::in_flight(const UpstreamId& id) const {
   std::lock_guard lock(mutex_);
   const auto found = lives_.find(id);
-  return found == lives_.end()
-             ? 0
-             : static_cast<int>(found->second.running.size());
+  return found == lives_.end() ? 0
+                               : static_cast<int>(found->second.running.size());
 }
 
 int UpstreamTable::total_in_flight() const {
@@ -145,9 +144,8 @@
     }
   }
   if (now_ms - record.load.reported_at_ms < kFreshReportMs) {
-    view.other_in_flight =
-        std::max(0, record.load.running + record.load.waiting -
-                        view.own_in_flight);
+    view.other_in_flight = std::max(
+        0, record.load.running + record.load.waiting - view.own_in_flight);
   }
 }
 
