Add order, placement and admission of the program policy, credits and suspects

The program policy orders by slack with aging and attained service, places by expected finish with waits, imports and evictions, and refuses calls that cannot finish in time. CreditPool leases shares of one upstream's limit, SuspectTracker finds the request that crashes upstreams, LoopDetector finds repeated calls. clang-tidy 14 reports use-nullptr inside defaulted comparisons of nested types; those lines carry NOLINT, one of them in core.h.

--- a/include/persimmonring/core.h
+++ b/include/persimmonring/core.h
@@ -171,7 +171,7 @@
   std::string name;
   uint64_t incarnation = 0;
 
-  auto operator<=>(const UpstreamId&) const = default;
+  auto operator<=>(const UpstreamId&) const = default;  // NOLINT: clang-tidy 14
 };
 bool isValid(const UpstreamId& id);
 
--- a/include/persimmonring/policy.h
+++ b/include/persimmonring/policy.h
@@ -5,7 +5,10 @@
 
 #include <compare>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,10 +16,14 @@
 
 namespace ring {
 
+// clang-tidy 14 reports modernize-use-nullptr inside defaulted comparisons
+// whose members have comparison operators of their own; these lines carry
+// NOLINT.
+
 /// Position of an upstream in PolicyInput::upstreams.
 struct UpstreamHandle {
   uint16_t index = UINT16_MAX;
-  auto operator<=>(const UpstreamHandle&) const = default;
+  auto operator<=>(const UpstreamHandle&) const = default;  // NOLINT
 };
 inline bool isValid(UpstreamHandle handle) {
   return handle.index != UINT16_MAX;
@@ -27,7 +34,7 @@
   UpstreamHandle upstream;
   int64_t tokens = 0;
 
-  auto operator<=>(const CachedPrefix&) const = default;
+  auto operator<=>(const CachedPrefix&) const = default;  // NOLINT
 };
 
 /// A waiting call.
@@ -51,7 +58,7 @@
   std::vector<UpstreamHandle> candidates;  ///< Serve its model or service.
   std::vector<UpstreamHandle> failed;      ///< Tried before; used last.
 
-  auto operator<=>(const CallView&) const = default;
+  auto operator<=>(const CallView&) const = default;  // NOLINT
 };
 
 enum class LinkClass : uint8_t { kDomain, kRegion, kOtherRegion };
@@ -74,7 +81,7 @@
   double decode_ms_per_token = 20;   ///< At the present batch.
   double decode_slope_ms = 0.5;      ///< More per further request in the batch.
 
-  auto operator<=>(const UpstreamView&) const = default;
+  auto operator<=>(const UpstreamView&) const = default;  // NOLINT
 };
 
 struct PolicyInput {
@@ -83,7 +90,7 @@
   std::vector<CallView> queue;  ///< In order of arrival.
   std::vector<UpstreamView> upstreams;
 
-  auto operator<=>(const PolicyInput&) const = default;
+  auto operator<=>(const PolicyInput&) const = default;  // NOLINT
 };
 
 struct Assignment {
@@ -92,7 +99,7 @@
   UpstreamHandle import_from;  ///< Valid: move the cached prefix from there.
   int64_t expected_finish_ms = 0;
 
-  auto operator<=>(const Assignment&) const = default;
+  auto operator<=>(const Assignment&) const = default;  // NOLINT
 };
 
 struct Rejection {
@@ -100,14 +107,14 @@
   Reason reason = Reason::kNone;
   int64_t retry_after_ms = 0;
 
-  auto operator<=>(const Rejection&) const = default;
+  auto operator<=>(const Rejection&) const = default;  // NOLINT
 };
 
 struct Decision {
   std::vector<Assignment> assignments;
   std::vector<Rejection> rejections;  ///< Refused at once, not run.
 
-  auto operator<=>(const Decision&) const = default;
+  auto operator<=>(const Decision&) const = default;  // NOLINT
 };
 
 /// Chooses which waiting calls start where, and which are refused. Calls that
@@ -124,6 +131,20 @@
   int64_t max_queue = 1'000;
   int64_t aging_ms = 10'000;
   double slack_safety = 1.2;  ///< Factor on expected finish for admission.
+  /// Longest time that a first call waits for a slot before it is refused.
+  int64_t first_call_wait_ms = 2'000;
+  /// Share of an engine's best throughput that its gate keeps. The gate is the
+  /// smallest batch that reaches this share; 1 disables it.
+  double gate_throughput = 0.95;
+  /// Weight of attained service against slack in the order of service.
+  double attained_weight = 0.5;
+  /// Speed and fixed cost of moving a cached prefix between two engines of a
+  /// region.
+  double import_tokens_per_ms = 40;
+  int64_t import_fixed_ms = 20;
+  /// Cost of a call to another region beyond its time, because the link between
+  /// regions is narrow and billed by the byte.
+  int64_t other_region_cost_ms = 500;
 };
 
 /// @param name "program", "fcfs-round-robin" or "fcfs-least-in-flight"
@@ -142,7 +163,7 @@
   int64_t now_ms = 0;
   int64_t deadline_ms = 0;
 
-  auto operator<=>(const AttemptFailure&) const = default;
+  auto operator<=>(const AttemptFailure&) const = default;  // NOLINT
 };
 
 enum class RetryVerdict : uint8_t { kRetry, kRetryAlone, kGiveUp };
@@ -170,4 +191,145 @@
 ///          callers do not return together
 int64_t SpreadRetryAfterMs(Rng& rng, int64_t base_ms);
 
+// ---------------------------------------------------------------- shared limit
+
+struct CreditInit {
+  int32_t limit = 0;             ///< Requests in flight the upstream may have.
+  int64_t lease_ms = 3'000;      ///< Life of a grant without renewal.
+  int32_t floor = 1;             ///< What an entry uses without a valid lease.
+  int32_t expected_entries = 1;  ///< Entries that may fall back to the floor.
+};
+
+/// Leased credits for the limit of one upstream that several entries share.
+/// One coordinator owns the pool. Deterministic; not thread-safe.
+///
+/// The sum of valid leases never exceeds the limit less the reserve for entries
+/// without a lease, floor * (expected_entries - holders), as long as that
+/// leaves one credit. An entry whose lease ran out uses `floor` requests. The
+/// load on the upstream is therefore at most limit + floor * expected_entries.
+class CreditPool {
+ public:
+  explicit CreditPool(const CreditInit& init);
+
+  /// Renews the lease of an entry and sets it as close to `wanted` as the fair
+  /// share and free credits allow. A lease shrinks at once.
+  /// @param wanted requests that the entry has in flight or waiting
+  /// @returns credits granted until now_ms + lease_ms
+  int32_t Request(const std::string& entry, int32_t wanted, int64_t now_ms);
+  /// Returns all credits of the entry.
+  void Release(const std::string& entry);
+  /// Drops leases that ended at or before now_ms.
+  /// @returns credits that came back
+  int32_t Expire(int64_t now_ms);
+  /// @returns credits out on leases
+  int32_t granted() const;
+  size_t holders() const { return leases_.size(); }
+
+ private:
+  struct Lease {
+    int32_t credits = 0;
+    int32_t wanted = 0;
+    int64_t ends_ms = 0;
+  };
+  int32_t Grantable(const std::string& entry) const;
+  int32_t FairShare() const;
+
+  const CreditInit init_;
+  std::map<std::string, Lease> leases_;
+};
+
+/// An entry's side of a lease. Counts the life of the lease from the time of
+/// its request, so that it ends here no later than at the coordinator.
+class CreditLease {
+ public:
+  explicit CreditLease(const CreditInit& init) : init_(init) {}
+  /// @param asked_ms when the request was sent
+  void OnGrant(int32_t credits, int64_t asked_ms);
+  /// @returns requests this entry may have in flight now
+  int32_t LimitAt(int64_t now_ms) const;
+
+ private:
+  CreditInit init_;
+  int32_t credits_ = 0;
+  int64_t ends_ms_ = INT64_MIN;
+};
+
+// ------------------------------------------------------------------ quarantine
+
+struct SuspectInit {
+  size_t max_in_flight = 100'000;  ///< Requests tracked; more are not tracked.
+  size_t max_suspects = 10'000;    ///< The oldest are forgotten beyond it.
+  int64_t suspect_ms = 600'000;    ///< Life of a suspicion.
+};
+
+/// Finds the request that crashes its upstreams. All requests in flight on a
+/// crashed upstream become suspects; suspects run alone; an upstream that
+/// crashes while it runs one lone suspect identifies the request. A request
+/// that is alone on its upstream in its first crash is identified by its
+/// second. Deterministic; not thread-safe.
+class SuspectTracker {
+ public:
+  explicit SuspectTracker(const SuspectInit& init) : init_(init) {}
+
+  /// @returns false if the tracker is full and the request is not tracked
+  bool OnStart(const UpstreamId& upstream,
+               const std::string& digest,
+               int64_t now_ms);
+  /// The attempt ended without a crash of the upstream.
+  /// @param completed a complete response was received, which clears a suspect
+  void OnEnd(const UpstreamId& upstream,
+             const std::string& digest,
+             bool completed);
+
+  struct CrashReport {
+    std::vector<std::string> suspects;  ///< Now suspected, sorted.
+    std::string identified;  ///< Digest to quarantine; empty if none.
+    int32_t crashes = 0;     ///< Of the identified digest.
+  };
+  /// Takes the requests in flight on the upstream as suspects. Repeated reports
+  /// of one crash find nothing in flight and change nothing.
+  CrashReport OnCrash(const UpstreamId& upstream, int64_t now_ms);
+
+  /// @returns true if the request must run alone
+  bool IsSuspect(const std::string& digest, int64_t now_ms) const;
+  /// @returns upstreams that crashed with this request in flight
+  int32_t CrashesOf(const std::string& digest) const;
+  /// Drops suspicions that are older than suspect_ms.
+  void Expire(int64_t now_ms);
+
+  size_t in_flight() const { return in_flight_count_; }
+  size_t suspects() const { return suspects_.size(); }
+
+ private:
+  struct Suspicion {
+    int32_t crashes = 0;
+    int64_t since_ms = 0;
+  };
+  void Suspect(const std::string& digest, int64_t now_ms);
+
+  const SuspectInit init_;
+  std::map<UpstreamId, std::multiset<std::string>> in_flight_;
+  size_t in_flight_count_ = 0;
+  std::map<std::string, Suspicion> suspects_;
+};
+
+// -------------------------------------------------------------- loop detection
+
+/// Detects a program that repeats one call. Keeps the digests of the last calls
+/// of one program. Digests must not cover the history, which differs in each
+/// call. Deterministic; not thread-safe.
+class LoopDetector {
+ public:
+  /// @param window calls that are remembered, > 0
+  /// @param limit equal calls within the window that are a loop, > 1
+  LoopDetector(size_t window, size_t limit);
+  /// @returns true if this call is the limit-th equal one within the window
+  bool OnCall(const std::string& digest);
+
+ private:
+  const size_t window_;
+  const size_t limit_;
+  std::deque<uint64_t> recent_;
+};
+
 }  // namespace ring
--- a/src/policy_common_p.h
+++ b/src/policy_common_p.h
@@ -33,6 +33,9 @@
   void Take(UpstreamHandle handle) { ++slots_[handle.index].own; }
   /// Excludes the upstream from further assignments of this decision.
   void Reserve(UpstreamHandle handle) { slots_[handle.index].reserved = true; }
+  bool IsReserved(UpstreamHandle handle) const {
+    return slots_[handle.index].reserved;
+  }
 
  private:
   struct Slot {
--- a/src/policy_program.cc
+++ b/src/policy_program.cc
@@ -1,101 +1,216 @@
+// Order of service and admission of the program policy. Placement is in
+// policy_placement.cc.
+
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 #include "policy_common_p.h"
+#include "policy_placement_p.h"
 
 namespace ring {
 namespace {
 
+// Stands for "no deadline" in the order of service.
+constexpr int64_t kNoDeadlineMs = 3'600'000;
+
+// Refused callers come back no sooner than this, even if room is expected at
+// once, because each attempt costs the entry a request.
+constexpr int64_t kMinRetryMs = 50;
+
+// Share of the expected remaining calls that a program under way must still
+// have time for. The expectation comes from statistics; a program that is
+// shorter than usual must not be refused late in its life.
+constexpr double kSureRemainingShare = 0.5;
+
+// A waiting call with what the order of service needs.
+struct Waiting {
+  const CallView* call = nullptr;
+  CandidateGroup* group = nullptr;
+  double call_ms = 0;
+  double urgency = 0;  // Lower is served first.
+};
+
+bool ServedBefore(const Waiting& a, const Waiting& b) {
+  return std::tuple(a.call->first_call, a.urgency, a.call->arrival_ms,
+                    a.call->ticket) < std::tuple(b.call->first_call, b.urgency,
+                                                 b.call->arrival_ms,
+                                                 b.call->ticket);
+}
+
 class ProgramPolicy final : public PolicyI {
  public:
   explicit ProgramPolicy(const PolicyInit& init) : init_(init) {}
   const char* name() const override { return "program"; }
+  Decision Decide(const PolicyInput& input) const override;
 
-  Decision Decide(const PolicyInput& input) const override {
-    Decision decision;
-    SlotTable slots(input.upstreams);
-    Rng rng(input.seed);
-    int64_t waiting = 0;
-    for (const CallView* call : Order(input)) {
-      Reason refused = Reason::kNone;
-      if (call->deadline_ms > 0 && call->deadline_ms <= input.now_ms) {
-        refused = Reason::kDeadlinePassed;
-      } else if (!HasUsableCandidate(*call, slots)) {
-        refused = Reason::kNoUpstream;
-      } else if (const auto handle = Place(*call, input, slots)) {
-        decision.assignments.push_back(
-            {.ticket = call->ticket, .upstream = *handle});
-      } else if (++waiting > init_.max_queue) {
-        refused = Reason::kQueueFull;
-      }
-      if (refused != Reason::kNone) {
-        decision.rejections.push_back(
-            {call->ticket, refused, SpreadRetryAfterMs(rng, 1'000)});
-      }
+ private:
+  const PolicyInit init_;
+};
+
+/// One decision. Serves programs under way first, then first calls.
+class ProgramDecision {
+ public:
+  ProgramDecision(const PolicyInput& input, const PolicyInit& init)
+      : input_(input), init_(init), placer_(input, init), rng_(input.seed) {}
+
+  Decision Run() {
+    for (const Waiting& waiting : Order()) {
+      Serve(waiting);
     }
-    return decision;
+    return std::move(decision_);
   }
 
  private:
-  static std::vector<const CallView*> Order(const PolicyInput& input) {
-    std::vector<const CallView*> order;
-    for (const CallView& call : input.queue) {
-      order.push_back(&call);
+  std::vector<Waiting> Order() {
+    std::vector<Waiting> order;
+    order.reserve(input_.queue.size());
+    for (const CallView& call : input_.queue) {
+      Waiting waiting{.call = &call, .group = &placer_.GroupOf(call)};
+      waiting.call_ms =
+          placer_.CallMs(call, *waiting.group, call.prompt_tokens);
+      waiting.urgency = Urgency(waiting);
+      order.push_back(waiting);
     }
-    std::stable_sort(order.begin(), order.end(),
-                     [](const CallView* a, const CallView* b) {
-                       return std::pair(a->first_call, a->deadline_ms) <
-                              std::pair(b->first_call, b->deadline_ms);
-                     });
+    std::sort(order.begin(), order.end(), ServedBefore);
     return order;
   }
 
-  static std::optional<UpstreamHandle> Place(const CallView& call,
-                                             const PolicyInput& input,
-                                             SlotTable& slots) {
-    if (call.suspect) {
-      return PlaceSuspect(call, slots);
+  int64_t TimeLeftMs(const CallView& call) const {
+    return call.deadline_ms > 0 ? call.deadline_ms - input_.now_ms
+                                : kNoDeadlineMs;
+  }
+
+  // Slack of the root program, which shrinks to zero as the call waits, plus
+  // the service that the root has received. The deadline of a sub-agent is that
+  // of its root, and its parent continues after it, so that at least one more
+  // call follows.
+  double Urgency(const Waiting& waiting) const {
+    const CallView& call = *waiting.call;
+    const double calls = 1.0 +
+                         static_cast<double>(call.expected_remaining_calls) +
+                         (call.sub_agent ? 1 : 0);
+    const double slack = std::max(
+        static_cast<double>(TimeLeftMs(call)) - calls * waiting.call_ms, 0.0);
+    const double waited_ms = static_cast<double>(
+        std::max<int64_t>(input_.now_ms - call.arrival_ms, 0));
+    const double aging =
+        std::max(1 - waited_ms / static_cast<double>(init_.aging_ms), 0.0);
+    return aging * (slack + init_.attained_weight *
+                                static_cast<double>(call.attained_service_ms));
+  }
+
+  void Serve(const Waiting& waiting) {
+    const CallView& call = *waiting.call;
+    CandidateGroup& group = *waiting.group;
+    if (call.deadline_ms > 0 && call.deadline_ms <= input_.now_ms) {
+      Refuse(call, Reason::kDeadlinePassed, waiting.call_ms);
+    } else if (!group.usable) {
+      Refuse(call, Reason::kNoUpstream, kNoUpstreamRetryMs);
+    } else if (call.first_call && !call.suspect) {
+      ServeFirst(waiting);
+    } else if (IsLost(waiting)) {
+      Refuse(call, Reason::kDeadlineUnreachable, DrainMs(waiting));
+    } else if (!TryPlace(waiting)) {
+      ++group.waiting_under_way;
+      KeepWaiting(waiting);
     }
-    UpstreamHandle best;
-    double best_cost = 0;
-    for (const UpstreamHandle handle : call.candidates) {
-      if (!slots.HasRoom(handle)) {
-        continue;
-      }
-      const double cost = Cost(call, input.upstreams[handle.index], slots);
-      if (!isValid(best) || cost < best_cost) {
-        best = handle;
-        best_cost = cost;
-      }
+  }
+
+  // Calls of programs under way were placed before, so that any room that is
+  // left is not needed by them.
+  void ServeFirst(const Waiting& waiting) {
+    const CallView& call = *waiting.call;
+    CandidateGroup& group = *waiting.group;
+    const double chain_ms = ChainMs(waiting);
+    const double time_left = static_cast<double>(TimeLeftMs(call));
+    if (chain_ms * init_.slack_safety > time_left) {
+      Refuse(call, Reason::kDeadlineUnreachable, DrainMs(waiting));
+      return;
+    }
+    if (TryPlace(waiting)) {
+      return;
     }
-    if (!isValid(best)) {
-      return std::nullopt;
+    ++group.waiting_first;
+    const double wait_ms = DrainMs(waiting);
+    const double waited_ms =
+        static_cast<double>(input_.now_ms - call.arrival_ms);
+    if (wait_ms + chain_ms * init_.slack_safety > time_left) {
+      Refuse(call, Reason::kDeadlineUnreachable, wait_ms);
+    } else if (waited_ms + wait_ms >
+               static_cast<double>(init_.first_call_wait_ms)) {
+      Refuse(call, Reason::kOverload, wait_ms);
+    } else {
+      KeepWaiting(waiting);
     }
-    slots.Take(best);
-    return best;
   }
 
-  static double Cost(const CallView& call,
-                     const UpstreamView& upstream,
-                     const SlotTable& slots) {
-    int64_t cached = 0;
-    for (const CachedPrefix& prefix : call.cached) {
-      if (prefix.upstream == upstream.handle) {
-        cached = std::min(prefix.tokens, call.prompt_tokens);
-      }
+  double ChainMs(const Waiting& waiting) const {
+    const CallView& call = *waiting.call;
+    return placer_.CallMs(call, *waiting.group, 0) +
+           static_cast<double>(call.expected_remaining_calls) * waiting.call_ms;
+  }
+
+  // Time until the calls ahead of this one have been served: those of programs
+  // under way once, each earlier first call with its whole chain.
+  double DrainMs(const Waiting& waiting) const {
+    const CandidateGroup& group = *waiting.group;
+    const double calls_ahead =
+        static_cast<double>(group.waiting_under_way) +
+        static_cast<double>(group.waiting_first) *
+            (1.0 + static_cast<double>(waiting.call->expected_remaining_calls));
+    const int64_t slots = std::max<int64_t>(
+        group.slots > 0 ? group.slots : group.slots_anywhere, 1);
+    return calls_ahead * waiting.call_ms / static_cast<double>(slots);
+  }
+
+  bool IsLost(const Waiting& waiting) const {
+    const CallView& call = *waiting.call;
+    if (call.deadline_ms <= 0) {
+      return false;
     }
-    const auto prefill = static_cast<double>(upstream.pending_prefill_tokens +
-                                             call.prompt_tokens - cached);
-    const double decode =
-        upstream.decode_ms_per_token +
-        upstream.decode_slope_ms * slots.own_in_flight(upstream.handle);
-    const double failed = HasFailedOn(call, upstream.handle) ? 1e9 : 0;
-    return prefill / upstream.prefill_tokens_per_ms +
-           decode * static_cast<double>(call.expected_output_tokens) + failed;
+    const double calls =
+        1.0 + kSureRemainingShare *
+                  static_cast<double>(call.expected_remaining_calls);
+    return calls * waiting.call_ms > static_cast<double>(TimeLeftMs(call));
   }
 
-  const PolicyInit init_;
+  bool TryPlace(const Waiting& waiting) {
+    const auto assignment = placer_.Place(*waiting.call, *waiting.group);
+    if (assignment) {
+      decision_.assignments.push_back(*assignment);
+    }
+    return assignment.has_value();
+  }
+
+  void KeepWaiting(const Waiting& waiting) {
+    if (++waiting_ > init_.max_queue) {
+      Refuse(*waiting.call, Reason::kQueueFull, DrainMs(waiting));
+    }
+  }
+
+  void Refuse(const CallView& call, Reason reason, double room_ms) {
+    const int64_t base = std::max<int64_t>(std::llround(room_ms), kMinRetryMs);
+    decision_.rejections.push_back(
+        {.ticket = call.ticket,
+         .reason = reason,
+         .retry_after_ms = SpreadRetryAfterMs(rng_, base)});
+  }
+
+  static constexpr double kNoUpstreamRetryMs = 1'000;
+
+  const PolicyInput& input_;
+  const PolicyInit& init_;
+  Placer placer_;
+  Rng rng_;
+  int64_t waiting_ = 0;
+  Decision decision_;
 };
 
+Decision ProgramPolicy::Decide(const PolicyInput& input) const {
+  return ProgramDecision(input, init_).Run();
+}
+
 }  // namespace
 
 std::unique_ptr<PolicyI> CreateProgramPolicy(const PolicyInit& init) {
