--- a/include/persimmonring/upstream.h
+++ b/include/persimmonring/upstream.h
@@ -74,6 +74,11 @@
   auto operator<=>(const DirectoryView&) const = default;
 };
 
+/// Reads the body of POST /v1/upstreams/announce. Adapters are added to
+/// `models`, because calls name an adapter in place of a model.
+/// @returns bad_request with the first wrong field
+Outcome<UpstreamRecord> ParseAnnouncement(const std::string& body);
+
 /// Members of the ring. Thread-safe.
 class DirectoryI {
  public:
@@ -116,7 +121,8 @@
   auto operator<=>(const EngineRequest&) const = default;
 };
 
-/// Result of a complete stream (end marker received).
+/// Result of a complete stream (end marker received). Text and output tokens
+/// are those of this attempt, without what came before resume_from.
 struct EngineResult {
   std::string text;
   std::string finish_reason;  ///< "stop", "length", "tool_calls"
@@ -164,6 +170,7 @@
   virtual ~EngineI() = default;
   /// @returns upstream_refused, upstream_reset, upstream_timeout,
   ///          upstream_truncated, upstream_error, cancelled
+  /// The run state after a failure is unknown if the request may have left.
   virtual Outcome<EngineResult> Complete(const UpstreamRecord& upstream,
                                          const EngineRequest& request,
                                          const TextSink& sink,
@@ -206,13 +213,16 @@
   auto operator<=>(const ServiceResult&) const = default;
 };
 
-/// Client of plain services. Thread-safe; each call blocks its thread.
+/// Client of plain services. Thread-safe; each call blocks its thread. The
+/// request goes to POST /v1/services/<service><path> of the upstream.
 class ServiceI {
  public:
   virtual ~ServiceI() = default;
   /// Sends once; never repeats by itself.
+  /// Error statuses of the service are results, unless its body says that the
+  /// request did not run.
   /// @returns upstream_refused (not_run), upstream_reset, tool_timeout,
-  ///          upstream_truncated (unknown)
+  ///          upstream_truncated, upstream_error (unknown)
   virtual Outcome<ServiceResult> Call(const UpstreamRecord& upstream,
                                       const ServiceRequest& request) = 0;
 };
--- /dev/null
+++ b/src/upstream_completion.cc
@@ -0,0 +1,114 @@
+#include "upstream_completion_p.h"
+
+namespace ring::upstream {
+namespace {
+
+constexpr size_t kMaxAnswerBytes = 8u << 20;
+
+template <typename T>
+T Get(const nlohmann::json& object, const char* key, T fallback) {
+  if (!object.is_object()) {
+    return fallback;
+  }
+  const auto it = object.find(key);
+  if (it == object.end()) {
+    return fallback;
+  }
+  if constexpr (std::is_same_v<T, std::string>) {
+    return it->is_string() ? it->get<T>() : fallback;
+  } else {
+    return it->is_number_integer() ? it->get<T>() : fallback;
+  }
+}
+
+nlohmann::json Member(const nlohmann::json& object, const char* key) {
+  return object.is_object() && object.contains(key) ? object[key]
+                                                    : nlohmann::json();
+}
+
+}  // namespace
+
+Completion::Completion(const EngineRequest& request, const TextSink& sink)
+    : request_(request), sink_(sink), next_offset_(request.resume_from) {}
+
+Completion::Step Completion::Fail(const char* error) {
+  error_ = error;
+  return Step::kFailed;
+}
+
+Completion::Step Completion::OnEvent(std::string_view data) {
+  if (ended_) {
+    return Step::kIgnored;
+  }
+  if (data == "[DONE]") {
+    if (!finished_) {
+      return Fail("end marker without finish reason");
+    }
+    ended_ = true;
+    return Step::kProgress;
+  }
+  const auto event = nlohmann::json::parse(data, nullptr, false);
+  return event.is_object() ? OnObject(event) : Fail("malformed event");
+}
+
+Completion::Step Completion::OnObject(const nlohmann::json& event) {
+  if (Get<std::string>(event, "ring_attempt", "") != request_.attempt) {
+    return Fail("event of another attempt");
+  }
+  const auto offset = Get<int64_t>(event, "offset", -1);
+  const auto choices = Member(event, "choices");
+  if (offset < 0 || !choices.is_array() || choices.empty() ||
+      !choices[0].is_object()) {
+    return Fail("event without offset or choice");
+  }
+  const auto& choice = choices[0];
+  const auto text =
+      Get<std::string>(Member(choice, "delta"), "content", std::string());
+  const bool finishes = Member(choice, "finish_reason").is_string();
+  if (offset < next_offset_ || finished_) {
+    return Step::kIgnored;
+  }
+  if (offset > next_offset_) {
+    return Fail("events are missing");
+  }
+  has_events_ = true;
+  if (!text.empty()) {
+    const auto tokens = Get<int64_t>(event, "tokens", 1);
+    if (TakeText(tokens, text) == Step::kFailed) {
+      return Step::kFailed;
+    }
+  }
+  if (finishes) {
+    TakeFinish(event, choice);
+  }
+  return Step::kProgress;
+}
+
+Completion::Step Completion::TakeText(int64_t tokens, const std::string& text) {
+  if (tokens <= 0 || result_.text.size() + text.size() > kMaxAnswerBytes) {
+    return Fail("token count or answer length is out of range");
+  }
+  result_.text += text;
+  if (sink_) {
+    sink_(next_offset_, text);
+  }
+  next_offset_ += tokens;
+  result_.output_tokens += tokens;
+  return Step::kProgress;
+}
+
+void Completion::TakeFinish(const nlohmann::json& event,
+                            const nlohmann::json& choice) {
+  finished_ = true;
+  result_.finish_reason = Get<std::string>(choice, "finish_reason", "");
+  const auto calls = Member(Member(choice, "delta"), "tool_calls");
+  if (calls.is_array() && !calls.empty()) {
+    result_.tool_calls = calls.dump();
+  }
+  const auto usage = Member(event, "usage");
+  result_.prompt_tokens = Get<int64_t>(usage, "prompt_tokens", 0);
+  result_.cached_tokens =
+      Get<int64_t>(Member(usage, "prompt_tokens_details"), "cached_tokens", 0);
+}
+
+}  // namespace ring::upstream
