Add the directory of upstreams and entries by gossip

Records are ordered by (incarnation, version, content), pushed at once and repaired by a pull each second: equal summaries exchange ages of one byte a member, others exchange digests and records. A repaired record is pushed on, because the lost push may have missed others too. Down is derived from the age of the last witness and not recorded; a recorded state would take living upstreams out after a partition.

ParseAnnouncement is removed: the entry module has the same function, which is the one in use. ringfake reports its state in the form that PlanOrders reads.

--- a/fakes/ringfake/engine_server.cc
+++ b/fakes/ringfake/engine_server.cc
@@ -143,7 +143,11 @@
 
 nlohmann::json EngineServer::Adapters() {
   std::lock_guard lock(mutex_);
-  return adapters_;
+  auto names = nlohmann::json::array();
+  for (const auto& [name, adapter] : adapters_) {
+    names.push_back(name);
+  }
+  return names;
 }
 
 void EngineServer::AddCacheRoutes(httplib::Server& server) {
@@ -252,10 +256,13 @@
   if (action == "load_model") {
     models_[model] = body.value("version", "");
   } else if (action == "load_adapter") {
-    adapters_.insert(adapter);
+    adapters_[adapter] = {model, body.value("version", "")};
   } else if (action == "unload") {
-    models_.erase(model);
-    adapters_.erase(adapter);
+    if (adapter.empty()) {
+      models_.erase(model);
+    } else {
+      adapters_.erase(adapter);
+    }
   } else if (action == "set_role") {
     role_ = body.value("role", "");
   }
@@ -263,8 +270,18 @@
 
 nlohmann::json EngineServer::State() {
   std::lock_guard lock(mutex_);
+  auto models = nlohmann::json::array();
+  for (const auto& [name, version] : models_) {
+    models.push_back({{"name", name}, {"version", version}});
+  }
+  auto adapters = nlohmann::json::array();
+  for (const auto& [name, adapter] : adapters_) {
+    adapters.push_back({{"name", name},
+                        {"model", adapter.model},
+                        {"version", adapter.version}});
+  }
   return {{"name", options_.name}, {"incarnation", life_.incarnation},
-          {"models", models_},     {"adapters", adapters_},
+          {"models", models},      {"adapters", adapters},
           {"role", role_},         {"fence", fence_},
           {"orders", orders_},     {"stale_orders", stale_orders_}};
 }
--- a/fakes/ringfake/engine_server.h
+++ b/fakes/ringfake/engine_server.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <mutex>
-#include <set>
 #include <string>
 
 #include "fakes/ringfake/batch.h"
@@ -41,7 +40,11 @@
 
   std::mutex mutex_;
   std::map<std::string, std::string> models_;  // Name to version.
-  std::set<std::string> adapters_;
+  struct Adapter {
+    std::string model;
+    std::string version;
+  };
+  std::map<std::string, Adapter> adapters_;
   std::string role_ = "mixed";
   uint64_t fence_ = 0;
   int64_t orders_ = 0;
--- a/include/persimmonring/upstream.h
+++ b/include/persimmonring/upstream.h
@@ -14,6 +14,7 @@
 
 #include "persimmonring/core.h"
 #include "persimmonring/runtime.h"
+#include "persimmonring/wire.h"
 
 namespace ring {
 
@@ -74,11 +75,6 @@
   auto operator<=>(const DirectoryView&) const = default;
 };
 
-/// Reads the body of POST /v1/upstreams/announce. Adapters are added to
-/// `models`, because calls name an adapter in place of a model.
-/// @returns bad_request with the first wrong field
-Outcome<UpstreamRecord> ParseAnnouncement(const std::string& body);
-
 /// Members of the ring. Thread-safe.
 class DirectoryI {
  public:
@@ -93,6 +89,68 @@
   virtual void ReportSuccess(const UpstreamId& id) = 0;
 };
 
+/// Directory kept by gossip between entries.
+///
+/// Each member has a record ordered by (incarnation, version). A record is
+/// pushed at once when it changes; once a second a pull compares a summary with
+/// one random peer and repairs what a lost push left out. The recorded state
+/// goes from up to leaving and never back for one incarnation.
+///
+/// kDown is derived, not recorded: a member is shown as down when its last
+/// witness is too long ago, and shown as before when the same incarnation is
+/// heard again. A recorded "down" would spread after a partition from the side
+/// that could not hear the member and take it out where it was always heard.
+/// Times since a witness travel as ages, so that clocks need not agree and a
+/// slow link makes a member look fresher, never older.
+class Directory final : public DirectoryI {
+ public:
+  struct Init {
+    std::string node;
+    std::string domain;
+    std::string region;
+    Endpoint wire;                ///< Own address for other entries.
+    std::vector<Endpoint> seeds;  ///< Wire addresses of some entries.
+    uint64_t incarnation = 0;     ///< 0: wall milliseconds of the start.
+    int64_t pull_period_ms = 1'000;
+    int64_t load_period_ms = 1'000;
+    /// A witness shows a member as down after this silence and tells others.
+    int64_t silence_ms = 5'000;
+    /// An entry that is no witness waits longer without a witness's word,
+    /// because ages reach it through several pulls.
+    int64_t indirect_silence_ms = 15'000;
+    /// Records of departed members are kept this long as tombstones.
+    int64_t tombstone_ms = 600'000;
+    /// Sessions to entries of each other domain; all of the own domain have
+    /// one.
+    size_t links_per_domain = 2;
+    uint64_t seed = 0;  ///< 0: from the system's generator.
+  };
+
+  /// @param hub must outlive the directory
+  Directory(const Init& init, HubI& hub, const ClockI& clock);
+  ~Directory() override;
+
+  Status Announce(const UpstreamRecord& record) override;
+  std::shared_ptr<const DirectoryView> View() const override;
+  /// Three failures in a row (refused, reset or timed out) show the upstream as
+  /// down at this entry for a while that doubles from 1 s to 16 s.
+  void ReportFailure(const UpstreamId& id, Reason reason) override;
+  void ReportSuccess(const UpstreamId& id) override;
+
+  /// Takes a Gossip frame; other kinds are ignored. For the hub's listener.
+  void OnFrame(SessionHandle session, const PeerInfo& peer, const Frame& frame);
+  /// Tells all entries that this one is leaving.
+  void SetLeaving();
+  /// Does what is due; to be called about every 100 ms.
+  void Tick();
+  /// Duty: calls Tick until stopped.
+  Status Run(const StopToken& stop);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
 // -------------------------------------------------------------- engine clients
 
 /// Cancels a call under way from another thread. Copies share the same state.
--- /dev/null
+++ b/src/upstream_directory.cc
@@ -0,0 +1,290 @@
+#include <algorithm>
+
+#include "upstream_directory_p.h"
+
+namespace ring {
+namespace {
+
+constexpr int64_t kTickMs = 100;
+constexpr int kFailuresToSuspect = 3;
+constexpr int64_t kFirstSuspectMs = 1'000;
+constexpr int64_t kMaxSuspectMs = 16'000;
+
+Rng MakeRng(uint64_t seed) {
+  return Rng(seed != 0 ? seed : std::random_device{}());
+}
+
+}  // namespace
+
+Directory::Impl::Impl(const Init& init, HubI& hub, const ClockI& clock)
+    : init_(init),
+      hub_(hub),
+      clock_(clock),
+      self_key_(upstream::KeyOf(true, init.node)),
+      rng_(MakeRng(init.seed)) {
+  Member self;
+  self.is_entry = true;
+  self.upstream = {.id = {.name = init.node, .incarnation = init.incarnation},
+                   .address = init.wire,
+                   .domain = init.domain,
+                   .region = init.region};
+  if (self.upstream.id.incarnation == 0) {
+    self.upstream.id.incarnation = static_cast<uint64_t>(clock.WallMs());
+  }
+  self.content = upstream::ContentOf(self);
+  self.witness = true;
+  self.last_heard_ms = clock.NowMs();
+  members_[self_key_] = self;
+  // Entries that start together must not all pull in the same moment.
+  next_pull_ms_ = clock.NowMs() + UniformMs(rng_, 0, init.pull_period_ms);
+}
+
+Status Directory::Impl::Announce(const UpstreamRecord& record) {
+  if (!isValid(record.id) || !isValid(record.address) ||
+      record.state == MemberState::kDown) {
+    return Refusal{Reason::kBadRequest, RunState::kNotRun,
+                   "announcement is malformed"};
+  }
+  Outbox outbox;
+  {
+    std::lock_guard lock(mutex_);
+    const uint64_t key = upstream::KeyOf(false, record.id.name);
+    Member* known = Find(key);
+    if (known != nullptr && record.id.incarnation < known->incarnation()) {
+      return Refusal{Reason::kStaleEpoch, RunState::kNotRun,
+                     "a newer incarnation is known"};
+    }
+    Member announced;
+    announced.upstream = record;
+    announced.upstream.load.reported_at_ms = clock_.NowMs();
+    announced.last_heard_ms = clock_.NowMs();
+    if (known != nullptr && known->incarnation() == record.id.incarnation) {
+      announced.upstream.state = std::max(record.state, known->upstream.state);
+      const bool same = upstream::SameContent(record, known->upstream) &&
+                        announced.upstream.state == known->upstream.state;
+      announced.version = known->version + (same ? 0 : 1);
+    }
+    announced.content = upstream::ContentOf(announced);
+    const bool changed = Merge(announced);
+    Member& member = *Find(key);
+    member.witness = true;
+    member.upstream.load = announced.upstream.load;
+    if (changed) {
+      member.pushed_load = member.upstream.load;
+      member.shown = StateOf(member);
+      PushMember(member, {}, false, outbox);
+    }
+  }
+  Flush(outbox);
+  return Done{};
+}
+
+std::shared_ptr<const DirectoryView> Directory::Impl::View() const {
+  std::lock_guard lock(mutex_);
+  if (dirty_ || !view_) {
+    Rebuild();
+  }
+  return view_;
+}
+
+void Directory::Impl::ReportFailure(const UpstreamId& id, Reason reason) {
+  if (reason != Reason::kUpstreamRefused && reason != Reason::kUpstreamReset &&
+      reason != Reason::kUpstreamTimeout) {
+    return;
+  }
+  std::lock_guard lock(mutex_);
+  Member* member = Find(upstream::KeyOf(false, id.name));
+  if (member == nullptr || member->incarnation() != id.incarnation ||
+      ++member->failures < kFailuresToSuspect) {
+    return;
+  }
+  // One more failure after the suspicion starts the next one.
+  member->failures = kFailuresToSuspect - 1;
+  member->suspect_ms =
+      std::clamp(member->suspect_ms * 2, kFirstSuspectMs, kMaxSuspectMs);
+  member->suspect_until_ms = clock_.NowMs() + member->suspect_ms;
+  member->shown = MemberState::kDown;
+  dirty_ = true;
+  Event(LogLevel::kWarn, "upstream_suspected")
+      .Add("upstream", id.name)
+      .Add("reason", reason)
+      .Add("for_ms", member->suspect_ms);
+}
+
+void Directory::Impl::ReportSuccess(const UpstreamId& id) {
+  std::lock_guard lock(mutex_);
+  Member* member = Find(upstream::KeyOf(false, id.name));
+  if (member != nullptr && member->incarnation() == id.incarnation) {
+    member->failures = 0;
+    member->suspect_ms = 0;
+    member->suspect_until_ms = 0;
+  }
+}
+
+void Directory::Impl::SetLeaving() {
+  Outbox outbox;
+  {
+    std::lock_guard lock(mutex_);
+    Member& self = *Find(self_key_);
+    if (self.upstream.state == MemberState::kLeaving) {
+      return;
+    }
+    self.upstream.state = MemberState::kLeaving;
+    self.shown = MemberState::kLeaving;
+    ++self.version;
+    self.content = upstream::ContentOf(self);
+    dirty_ = true;
+    PushMember(self, {}, false, outbox);
+  }
+  Flush(outbox);
+}
+
+void Directory::Impl::Tick() {
+  Outbox outbox;
+  {
+    std::lock_guard lock(mutex_);
+    HearEntries();
+    UpdateShown(outbox);
+    PushLoads(outbox);
+    if (clock_.NowMs() >= next_pull_ms_) {
+      next_pull_ms_ = clock_.NowMs() + init_.pull_period_ms;
+      DropExpired();
+      ConnectPeers();
+      SendPull(outbox);
+    }
+  }
+  Flush(outbox);
+}
+
+// An open session is heard by the hub at least once in its silence limit.
+void Directory::Impl::HearEntries() {
+  for (auto& [key, member] : members_) {
+    if (key == self_key_) {
+      Heard(member, clock_.NowMs());
+    } else if (member.is_entry && isValid(hub_.FindByNode(member.name()))) {
+      Heard(member, clock_.NowMs());
+      member.witness = true;
+    }
+  }
+}
+
+// All entries of the own domain and some of each other domain. The choice
+// depends on both names, so that the links of a domain are spread.
+std::vector<const Directory::Impl::Member*> Directory::Impl::ChosenEntries()
+    const {
+  std::vector<const Member*> chosen;
+  std::map<std::string, std::map<uint64_t, const Member*>> others;
+  for (const auto& [key, member] : members_) {
+    if (!member.is_entry || key == self_key_ ||
+        member.shown == MemberState::kDown) {
+      continue;
+    }
+    if (member.upstream.domain == init_.domain) {
+      chosen.push_back(&member);
+    } else {
+      others[member.upstream.domain][Checksum(init_.node + member.name())] =
+          &member;
+    }
+  }
+  for (const auto& [domain, ranked] : others) {
+    size_t count = 0;
+    for (const auto& [rank, member] : ranked) {
+      if (count++ == init_.links_per_domain) {
+        break;
+      }
+      chosen.push_back(member);
+    }
+  }
+  return chosen;
+}
+
+void Directory::Impl::ConnectPeers() {
+  const auto connect = [this](const Endpoint& endpoint) {
+    if (endpoint != init_.wire &&
+        connected_.insert(endpoint.ToString()).second) {
+      hub_.Connect(endpoint);
+    }
+  };
+  for (const auto& seed : init_.seeds) {
+    connect(seed);
+  }
+  for (const Member* member : ChosenEntries()) {
+    connect(member->upstream.address);
+  }
+}
+
+void Directory::Impl::PushLoads(Outbox& outbox) {
+  const int64_t now = clock_.NowMs();
+  std::vector<fb::LoadItem> items;
+  for (auto& [key, member] : members_) {
+    const auto& load = member.upstream.load;
+    if (member.is_entry || !member.witness ||
+        member.upstream.domain != init_.domain || now < member.next_load_ms ||
+        !upstream::DiffersMuch(load, member.pushed_load)) {
+      continue;
+    }
+    member.next_load_ms = now + init_.load_period_ms;
+    member.pushed_load = load;
+    items.push_back(upstream::ToItem(member, load));
+    dirty_ = true;
+  }
+  if (items.empty()) {
+    return;
+  }
+  Builder builder;
+  const auto loads = builder.CreateVectorOfStructs(items);
+  fb::GossipBuilder gossip(builder);
+  gossip.add_loads(loads);
+  builder.Finish(gossip.Finish());
+  const std::string payload(
+      reinterpret_cast<const char*>(builder.GetBufferPointer()),
+      builder.GetSize());
+  for (const auto& peer : Peers()) {
+    if (peer.same_domain) {
+      outbox.emplace_back(peer.session, payload);
+    }
+  }
+}
+
+Directory::Directory(const Init& init, HubI& hub, const ClockI& clock)
+    : impl_(std::make_unique<Impl>(init, hub, clock)) {}
+Directory::~Directory() = default;
+
+Status Directory::Announce(const UpstreamRecord& record) {
+  return impl_->Announce(record);
+}
+
+std::shared_ptr<const DirectoryView> Directory::View() const {
+  return impl_->View();
+}
+
+void Directory::ReportFailure(const UpstreamId& id, Reason reason) {
+  impl_->ReportFailure(id, reason);
+}
+
+void Directory::ReportSuccess(const UpstreamId& id) {
+  impl_->ReportSuccess(id);
+}
+
+void Directory::OnFrame(SessionHandle session,
+                        const PeerInfo& peer,
+                        const Frame& frame) {
+  impl_->OnFrame(session, peer, frame);
+}
+
+void Directory::SetLeaving() {
+  impl_->SetLeaving();
+}
+
+void Directory::Tick() {
+  impl_->Tick();
+}
+
+Status Directory::Run(const StopToken& stop) {
+  while (!stop.WaitFor(kTickMs)) {
+    impl_->Tick();
+  }
+  return Done{};
+}
+
+}  // namespace ring
--- a/tests/upstream_http_test.cc
+++ b/tests/upstream_http_test.cc
@@ -245,32 +245,5 @@
   EXPECT_EQ(server.connections(), 1);
 }
 
-// Guards against malformed announcements that reach the directory.
-TEST(AnnouncementParse, MissingOrMistypedField_IsRefusedByName) {
-  const std::string good =
-      R"({"name":"u1","incarnation":5,"address":"127.0.0.1:80",)"
-      R"("kind":"engine","domain":"d","region":"r","models":["m"],)"
-      R"("adapters":["m:x"],"max_in_flight":4,"leaving":true,"fencing":true,)"
-      R"("load":{"running":1,"waiting":-2}})";
-  const auto record = ParseAnnouncement(good);
-  ASSERT_TRUE(record.ok());
-  EXPECT_EQ(record->state, MemberState::kLeaving);
-  EXPECT_EQ(record->models, (std::vector<std::string>{"m", "m:x"}));
-  EXPECT_EQ(record->load.running, 1);
-  EXPECT_EQ(record->load.waiting, 0);
-  for (const char* field :
-       {"\"name\":\"u1\"", "\"incarnation\":5", "\"address\":\"127.0.0.1:80\"",
-        "\"engine\"", "\"domain\":\"d\"", "[\"m\"]"}) {
-    std::string bad = good;
-    bad.replace(bad.find(field), std::string(field).size(),
-                field[1] == 'm' || field[1] == 'e' || field[0] == '['
-                    ? "{}"
-                    : "\"z\":0");
-    EXPECT_EQ(ParseAnnouncement(bad).refusal().reason, Reason::kBadRequest)
-        << bad;
-  }
-  EXPECT_FALSE(ParseAnnouncement("[]").ok());
-}
-
 }  // namespace
 }  // namespace ring
