--- a/tools/ringlab.py
+++ b/tools/ringlab.py
@@ -146,3 +146,239 @@
     engine_args: list = field(default_factory=list)
     entry_settings: dict = field(default_factory=dict)
     keeper_settings: dict = field(default_factory=dict)
+
+
+class Ring:
+    """A ring of keepers, entries and stand-in upstreams.
+
+    Use as a context manager: all processes are stopped and the folder is
+    removed at the end, also after an error.
+    """
+
+    def __init__(self, shape=None, folder=None, keep=False):
+        self.shape = shape or Shape()
+        self.folder = folder or tempfile.mkdtemp(prefix="ring-")
+        self.keep = keep
+        self.domains = list(self.shape.domains)
+        self.keepers = []
+        self.entries = []
+        self.upstreams = []
+        self.extra = []  # Further processes, for example ringlink.
+        # Address that a keeper or entry uses for a peer: (from, to) -> port.
+        self.routes = {}
+        self._plan()
+
+    # ------------------------------------------------------------- planning
+
+    def _plan(self):
+        shape = self.shape
+        entry_count = len(self.domains) * shape.entries_per_domain
+        upstream_count = len(self.domains) * (shape.engines_per_domain +
+                                              shape.services_per_domain)
+        ports = iter(free_ports(3 * len(self.domains) + 4 * entry_count +
+                                upstream_count))
+        for number, domain in enumerate(self.domains, 1):
+            self.keepers.append(Keeper(f"keeper-{number}", domain,
+                                       shape.domains[domain], next(ports),
+                                       next(ports), next(ports)))
+        for domain in self.domains:
+            for number in range(1, shape.entries_per_domain + 1):
+                self.entries.append(Entry(
+                    f"entry-{domain}-{number}", domain, shape.domains[domain],
+                    next(ports), next(ports), next(ports), next(ports)))
+        for domain in self.domains:
+            for number in range(1, shape.engines_per_domain + 1):
+                self.upstreams.append(Upstream(
+                    f"engine-{domain}-{number}", domain, "engine", next(ports)))
+            for number in range(1, shape.services_per_domain + 1):
+                self.upstreams.append(Upstream(
+                    f"service-{domain}-{number}", domain, "service",
+                    next(ports)))
+
+    def path(self, *parts):
+        return os.path.join(self.folder, *parts)
+
+    def _write_settings(self, name, settings):
+        os.makedirs(self.path("settings"), exist_ok=True)
+        file = self.path("settings", name + ".json")
+        with open(file, "w", encoding="utf-8") as output:
+            json.dump(settings, output, indent=2)
+        return file
+
+    def _address(self, origin, target, port):
+        return f"{HOST}:{self.routes.get((origin, target), port)}"
+
+    def keeper_settings(self, keeper):
+        members = [{"replica": number, "node": other.name}
+                   for number, other in enumerate(self.keepers, 1)]
+        number = self.keepers.index(keeper) + 1
+        return {
+            "ring": self.shape.ring, "node": keeper.name,
+            "domain": keeper.domain, "region": keeper.region,
+            "listen": f"{HOST}:{keeper.wire}",
+            "data_folder": self.path("data", keeper.name),
+            "metrics_address": f"{HOST}:{keeper.metrics}",
+            "health_address": f"{HOST}:{keeper.health}",
+            "keepers": [{"node": other.name, "domain": other.domain,
+                         "address": self._address(keeper.name, other.name,
+                                                  other.wire)}
+                        for other in self.keepers],
+            "groups": [{"name": group, "replica": number,
+                        "initial_members": members}
+                       for group in ["control"] + self.domains],
+            **self.shape.keeper_settings,
+        }
+
+    def entry_settings(self, entry):
+        return {
+            "ring": self.shape.ring, "node": entry.name,
+            "domain": entry.domain, "region": entry.region,
+            "http_address": f"{HOST}:{entry.http}",
+            "admin_address": f"{HOST}:{entry.admin}",
+            "metrics_address": f"{HOST}:{entry.metrics}",
+            "wire_address": f"{HOST}:{entry.wire}",
+            "keepers": [self._address(entry.name, keeper.name, keeper.wire)
+                        for keeper in self.keepers],
+            "seeds": [self._address(entry.name, other.name, other.wire)
+                      for other in self.entries if other is not entry],
+            **self.shape.entry_settings,
+        }
+
+    # ------------------------------------------------------------- starting
+
+    def _process(self, name, args):
+        os.makedirs(self.path("logs"), exist_ok=True)
+        return Process(name, args, self.path("logs", name + ".log"))
+
+    def binary(self, name):
+        return os.path.join(BUILD, name)
+
+    def initialize_keeper(self, keeper):
+        file = self._write_settings(keeper.name, self.keeper_settings(keeper))
+        os.makedirs(self.path("data"), exist_ok=True)
+        subprocess.run([self.binary("ringkeeper"), "--config", file,
+                        "--initialize"], check=True,
+                       stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+
+    def start_keeper(self, keeper):
+        file = self._write_settings(keeper.name, self.keeper_settings(keeper))
+        keeper.process = self._process(
+            keeper.name, [self.binary("ringkeeper"), "--config", file])
+        keeper.process.start()
+
+    def start_entry(self, entry):
+        file = self._write_settings(entry.name, self.entry_settings(entry))
+        entry.process = self._process(
+            entry.name, [self.binary("ringentry"), "--config", file])
+        entry.process.start()
+
+    def start_upstream(self, upstream):
+        entries = [f"{HOST}:{entry.http}" for entry in self.entries
+                   if entry.domain == upstream.domain]
+        args = [self.binary("ringfake"), "--kind", upstream.kind,
+                "--name", upstream.name, "--port", str(upstream.port),
+                "--domain", upstream.domain,
+                "--region", self.shape.domains[upstream.domain],
+                "--entries", *entries]
+        if upstream.kind == "engine":
+            args += ["--models", self.shape.model, *self.shape.engine_args]
+        else:
+            args += ["--services", self.shape.service]
+        upstream.process = self._process(upstream.name, args)
+        upstream.process.start()
+
+    def start(self):
+        for keeper in self.keepers:
+            self.initialize_keeper(keeper)
+        for keeper in self.keepers:
+            self.start_keeper(keeper)
+        self.wait("keepers are ready", lambda: all(
+            self.is_ready(keeper.health) for keeper in self.keepers))
+        for entry in self.entries:
+            self.start_entry(entry)
+        self.wait("entries are ready", lambda: all(
+            self.is_ready(entry.admin) for entry in self.entries))
+        for upstream in self.upstreams:
+            self.start_upstream(upstream)
+        self.wait("upstreams are announced", self.all_announced)
+
+    def is_ready(self, port):
+        try:
+            return request(port, "GET", "/readyz", timeout=2)[0] == 200
+        except OSError:
+            return False
+
+    def all_announced(self):
+        """True if each entry lists each upstream as up."""
+        names = {upstream.name for upstream in self.upstreams}
+        try:
+            for entry in self.entries:
+                status = get_json(entry.admin, "/admin/status")
+                up = {item["name"] for item in status["upstreams"]
+                      if item.get("state") == "up"}
+                if not names <= up:
+                    return False
+        except (OSError, RuntimeError):
+            return False
+        return True
+
+    def wait(self, what, condition, timeout=START_TIMEOUT_S):
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline:
+            if condition():
+                return
+            for process in self.processes():
+                if process.child is not None and process.child.poll() not in (
+                        None, 0, -signal.SIGKILL):
+                    raise RuntimeError(
+                        f"{process.name} ended with code "
+                        f"{process.child.returncode}; see {process.log}")
+            time.sleep(0.05)
+        raise RuntimeError(f"not reached in {timeout} s: {what}; "
+                           f"logs in {self.path('logs')}")
+
+    def keeper_addresses(self):
+        return ",".join(f"{HOST}:{keeper.wire}" for keeper in self.keepers)
+
+    def ringctl(self, *args, check=True):
+        result = subprocess.run(
+            [self.binary("ringctl"), "--ring", self.shape.ring, "--keepers",
+             self.keeper_addresses(), *args],
+            capture_output=True, text=True, timeout=60)
+        if check and result.returncode != 0:
+            raise RuntimeError(f"ringctl {' '.join(args)}: code "
+                               f"{result.returncode}: {result.stderr}")
+        return result
+
+    # ------------------------------------------------------------- stopping
+
+    def processes(self):
+        nodes = self.upstreams + self.entries + self.keepers
+        return [node.process for node in nodes
+                if node.process is not None] + self.extra
+
+    def stop(self):
+        """Stops everything. Returns the names that did not exit with code 0."""
+        failed = []
+        for process in self.processes():
+            if process.alive():
+                process.send(signal.SIGCONT)
+        for process in self.processes():
+            was_alive = process.alive()
+            code = process.stop()
+            if was_alive and code != 0:
+                failed.append(f"{process.name}={code}")
+        return failed
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        for process in self.processes():
+            if process.alive():
+                process.stop(timeout=5)
+        if kind is None and not self.keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        else:
+            print(f"logs are kept in {self.path('logs')}")
+        return False
