Add a process-level run under seeded faults

Cause: the guarantees must hold for real processes that are killed, frozen, wiped and cut off while programs run. Result: not run yet; it needs ringentry and ringctl.

--- /dev/null
+++ b/tools/fault_run.py
@@ -0,0 +1,466 @@
+#!/usr/bin/env python3
+"""Process-level run under faults.
+
+Starts a ring of real processes on loopback, runs agent programs through it,
+injects seeded faults (kill, freeze, wiped data folder, cut links, engines that
+die or leave, racing operators), and then checks the guarantees of
+docs/design.md. The same seed gives the same programs and the same faults;
+their timing against each other depends on the machine.
+
+  tools/fault_run.py --seed 1 --seconds 40
+"""
+
+import argparse
+import json
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+import ringlab
+from ringcaller import DONE, NOT_RUN, Caller
+from ringlab import HOST, Ring, Shape, get_json, request
+
+CONFIG_LIMIT_S = 11   # Configuration in force everywhere.
+LEAVING_LIMIT_S = 3   # No new work for an upstream that gave notice.
+RELEASE_LIMIT_S = 20  # Engine memory of ended programs, all processes up.
+BUDGET_TOKENS = 4000
+TURNS = 14
+
+
+class Links:
+    """Relays between the keeper of one domain and everything elsewhere."""
+
+    def __init__(self, ring, domain):
+        self.relays = []  # (name, control port)
+        inside = [node for node in ring.keepers + ring.entries
+                  if node.domain == domain]
+        pairs = [(origin, target) for origin in ring.keepers + ring.entries
+                 for target in ring.keepers
+                 if origin is not target and (origin in inside) !=
+                 (target in inside)]
+        ports = ringlab.free_ports(2 * len(pairs))
+        for origin, target in pairs:
+            listen, control = ports.pop(), ports.pop()
+            name = f"link-{origin.name}-{target.name}"
+            process = ring._process(name, [
+                ring.binary("ringlink"), "--listen", f"{HOST}:{listen}",
+                "--target", f"{HOST}:{target.wire}",
+                "--control-port", str(control)])
+            process.start()
+            ring.extra.append(process)
+            ring.routes[(origin.name, target.name)] = listen
+            self.relays.append(control)
+
+    def command(self, path):
+        for control in self.relays:
+            request(control, "POST", path, timeout=5)
+
+
+class Operators(threading.Thread):
+    """Applies release notes while faults go on. Some numbers are claimed by two
+    operators at once; lost answers are resent."""
+
+    def __init__(self, ring, seed):
+        super().__init__(daemon=True)
+        self.ring = ring
+        self.random = random.Random(f"{seed}/operators")
+        self.stopping = threading.Event()
+        self.accepted = {}  # number -> (operator, digest)
+        self.conflicts = 0
+        self.problems = []
+
+    def run(self):
+        number = 1
+        while not self.stopping.wait(1.0):
+            racing = self.random.random() < 0.5
+            names = ["north", "south"] if racing else ["north"]
+            threads = [threading.Thread(target=self._apply, args=(number, name))
+                       for name in names]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            if number in self.accepted:
+                number += 1
+
+    def _apply(self, number, name):
+        body = {"added": [], "withdrawn": [],
+                "changed": [{"kind": "limit", "name": "probe",
+                             "value": number, "by": name}]}
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as note:
+            json.dump(body, note)
+            note.flush()
+            for _ in range(20):
+                result = self.ring.ringctl(
+                    "--json", "release", "apply", note.name, "--number",
+                    str(number), "--operator", name, check=False)
+                if result.returncode == 0:
+                    self._accept(number, name, json.loads(result.stdout))
+                    return
+                if "conflict" in result.stderr + result.stdout:
+                    self.conflicts += 1
+                    return
+                time.sleep(0.3)
+
+    def _accept(self, number, name, answer):
+        held = self.accepted.setdefault(number, (name, answer["digest"]))
+        if held != (name, answer["digest"]):
+            self.problems.append(f"note {number} accepted twice: {held} and "
+                                 f"{(name, answer['digest'])}")
+
+
+class VersionWatch(threading.Thread):
+    """Checks that no entry moves to a lower version within one life."""
+
+    def __init__(self, ring):
+        super().__init__(daemon=True)
+        self.ring = ring
+        self.stopping = threading.Event()
+        self.highest = {}
+        self.problems = []
+
+    def run(self):
+        while not self.stopping.wait(0.25):
+            for entry in self.ring.entries:
+                try:
+                    status = get_json(entry.admin, "/admin/status", timeout=1)
+                except (OSError, RuntimeError, ValueError):
+                    continue
+                version = status["config_version"]
+                key = (entry.name, entry.process.child.pid)
+                if version < self.highest.get(key, 0):
+                    self.problems.append(
+                        f"{entry.name} went back from {self.highest[key]} to "
+                        f"{version}")
+                self.highest[key] = max(version, self.highest.get(key, 0))
+
+
+class Faults:
+    """Seeded faults; at most one keeper is out of service at a time, so that
+    each group keeps a majority, except where two at once are asked for."""
+
+    def __init__(self, ring, links, seed, log):
+        self.ring = ring
+        self.links = links
+        self.random = random.Random(f"{seed}/faults")
+        self.log = log
+        self.next_replica = 100
+        self.wiped = 0
+        self.counts = {}
+
+    def run(self, seconds):
+        end = time.monotonic() + seconds
+        kinds = [self.kill_entry, self.freeze_entry, self.kill_keeper,
+                 self.freeze_keeper, self.wipe_keeper, self.cut_domain,
+                 self.kill_engine, self.leave_engine, self.restart_entry,
+                 self.kill_entry_and_keeper]
+        bag = []
+        while time.monotonic() < end:
+            if not bag:
+                bag = self.random.sample(kinds, len(kinds))
+            fault = bag.pop()
+            name = fault.__name__
+            self.counts[name] = self.counts.get(name, 0) + 1
+            fault()
+            time.sleep(self.random.uniform(0.2, 1.0))
+
+    def _keepers_ready(self):
+        self.ring.wait("keepers are ready again", lambda: all(
+            self.ring.is_ready(keeper.health) for keeper in self.ring.keepers),
+            timeout=30)
+
+    def kill_entry(self):
+        entry = self.random.choice(self.ring.entries)
+        self.log(f"kill {entry.name}")
+        entry.process.kill()
+        time.sleep(self.random.uniform(0.1, 1.5))
+        self.ring.start_entry(entry)
+
+    def freeze_entry(self):
+        entry = self.random.choice(self.ring.entries)
+        pause = self.random.uniform(2.5, 5.0)
+        self.log(f"freeze {entry.name} for {pause:.1f} s")
+        entry.process.send(signal.SIGSTOP)
+        time.sleep(pause)
+        entry.process.send(signal.SIGCONT)
+
+    def restart_entry(self):
+        entry = self.random.choice(self.ring.entries)
+        self.log(f"graceful restart of {entry.name}")
+        code = entry.process.stop()
+        if code != 0:
+            raise RuntimeError(f"{entry.name} ended with {code} after SIGTERM")
+        self.ring.start_entry(entry)
+
+    def kill_keeper(self):
+        keeper = self.random.choice(self.ring.keepers)
+        self.log(f"kill {keeper.name}")
+        keeper.process.kill()
+        time.sleep(self.random.uniform(0.2, 2.0))
+        self.ring.start_keeper(keeper)
+        self._keepers_ready()
+
+    def freeze_keeper(self):
+        keeper = self.random.choice(self.ring.keepers)
+        pause = self.random.uniform(2.0, 4.0)
+        self.log(f"freeze {keeper.name} for {pause:.1f} s")
+        keeper.process.send(signal.SIGSTOP)
+        time.sleep(pause)
+        keeper.process.send(signal.SIGCONT)
+        self._keepers_ready()
+
+    def kill_entry_and_keeper(self):
+        entry = self.random.choice(self.ring.entries)
+        keeper = self.random.choice(self.ring.keepers)
+        self.log(f"kill {entry.name} and {keeper.name} at once")
+        entry.process.kill()
+        keeper.process.kill()
+        time.sleep(self.random.uniform(0.2, 1.0))
+        self.ring.start_keeper(keeper)
+        self.ring.start_entry(entry)
+        self._keepers_ready()
+
+    def cut_domain(self):
+        pause = self.random.uniform(2.0, 5.0)
+        self.log(f"cut the last domain's keeper links for {pause:.1f} s")
+        self.links.command("/cut")
+        time.sleep(pause)
+        self.links.command("/heal")
+        self._keepers_ready()
+
+    def wipe_keeper(self):
+        """Loses a keeper's disk and repairs it: the old replicas are removed,
+        new ones with new ids join and catch up."""
+        keeper = self.random.choice(self.ring.keepers)
+        self.log(f"wipe the data of {keeper.name} and replace its replicas")
+        keeper.process.kill()
+        self.ring.replace_replicas(keeper, self.next_replica)
+        self.next_replica += 1
+        self.wiped += 1
+        self._keepers_ready()
+
+    def kill_engine(self):
+        engine = self._engine()
+        self.log(f"kill {engine.name}")
+        engine.process.kill()
+        time.sleep(self.random.uniform(0.2, 1.0))
+        self.ring.start_upstream(engine)
+
+    def leave_engine(self):
+        engine = self._engine()
+        self.log(f"graceful stop of {engine.name}")
+        engine.process.stop()
+        self.ring.start_upstream(engine)
+
+    def _engine(self):
+        return self.random.choice(
+            [item for item in self.ring.upstreams if item.kind == "engine"])
+
+
+# --------------------------------------------------------------------- checks
+
+
+def check_programs(ring, callers):
+    problems = []
+    for caller in callers:
+        record = caller.record
+        name = f"program {record.number}"
+        problems += [f"{name}: {text}" for text in record.problems]
+        if not record.program:
+            continue
+        status, _, text = request(ring.entries[0].http, "GET",
+                                  f"/v1/programs/{record.program}/history")
+        if status != 200:
+            problems.append(f"{name}: history {status} {text[:200]}")
+            continue
+        stored = json.loads(text)["messages"]
+        if stored != record.messages:
+            problems.append(f"{name}: history has {len(stored)} messages, its "
+                            f"caller has {len(record.messages)}")
+        state = get_json(ring.entries[0].http,
+                         f"/v1/programs/{record.program}")
+        if not record.used_tokens <= state["used_tokens"] <= BUDGET_TOKENS:
+            problems.append(f"{name}: used {state['used_tokens']}, caller saw "
+                            f"{record.used_tokens}, budget {BUDGET_TOKENS}")
+    return problems
+
+
+def check_purchases(ring, callers):
+    executed = {}
+    for item in ring.upstreams:
+        if item.kind == "service":
+            counts = get_json(item.port, "/v1/fake/executions")["by_key"]
+            for tag, count in counts.items():
+                executed[tag] = executed.get(tag, 0) + count
+    problems = []
+    seen = {}
+    for caller in callers:
+        for purchase in caller.record.purchases:
+            count = executed.get(purchase.tag, 0)
+            seen[purchase.outcome] = seen.get(purchase.outcome, 0) + 1
+            expected = {DONE: (1,), NOT_RUN: (0,)}.get(purchase.outcome, (0, 1))
+            if count not in expected:
+                problems.append(f"purchase {purchase.tag}: outcome "
+                                f"{purchase.outcome}, executed {count} times")
+    return problems, seen
+
+
+def check_answers(ring, callers, limit=200):
+    """Asks an engine directly for the same conversations: the stand-in's answer
+    is a function of the messages, so a crossed or cut answer differs."""
+    engine = next(item for item in ring.upstreams
+                  if item.kind == "engine" and item.process.alive())
+    problems = []
+    checked = 0
+    for caller in callers:
+        messages = caller.record.messages
+        for end in range(1, len(messages), 2):
+            if checked >= limit:
+                return problems, checked
+            status, _, text = request(engine.port, "POST",
+                                      "/v1/chat/completions", {
+                                          "model": ring.shape.model,
+                                          "messages": messages[:end],
+                                          "max_tokens": 32, "stream": True})
+            if status != 200:
+                problems.append(f"direct question failed: {status}")
+                continue
+            expected = ""
+            for line in text.splitlines():
+                if line.startswith("data: {"):
+                    for choice in json.loads(line[6:]).get("choices", []):
+                        expected += choice.get("delta", {}).get("content") or ""
+            checked += 1
+            if expected != messages[end]["content"]:
+                problems.append(f"program {caller.record.number} message {end} "
+                                "is not the answer to its question")
+    return problems, checked
+
+
+def check_release(ring, callers):
+    """Ends all programs; no engine may keep memory of them."""
+    problems = []
+    ended = set()
+    for caller in callers:
+        program = caller.record.program
+        if not program:
+            continue
+        status, _, text = request(ring.entries[-1].http, "DELETE",
+                                  f"/v1/programs/{program}")
+        if status != 200:
+            problems.append(f"end: {status} {text[:200]}")
+        ended.add(program)
+    deadline = time.monotonic() + RELEASE_LIMIT_S
+    held = {}
+    while time.monotonic() < deadline:
+        held = {}
+        for item in ring.upstreams:
+            if item.kind == "engine":
+                keys = get_json(item.port, "/v1/fake/keys")
+                names = {key["key"] if isinstance(key, dict) else key
+                         for key in keys}
+                for key in names & ended:
+                    held.setdefault(item.name, []).append(key[:16])
+        if not held:
+            return problems
+        time.sleep(0.5)
+    return problems + [f"engine memory still held: {held}"]
+
+
+def check_config(ring, operators):
+    problems = list(operators.problems)
+    if not operators.accepted:
+        return problems + ["no release note was accepted"]
+    wanted = max(operators.accepted)
+    deadline = time.monotonic() + CONFIG_LIMIT_S
+    versions = {}
+    while time.monotonic() < deadline:
+        versions = {entry.name: get_json(entry.admin, "/admin/status")
+                    ["config_version"] for entry in ring.entries}
+        if all(version >= wanted for version in versions.values()):
+            return problems
+        time.sleep(0.2)
+    return problems + [f"note {wanted} not in force after {CONFIG_LIMIT_S} s: "
+                       f"{versions}"]
+
+
+def run(args):
+    started = time.monotonic()
+
+    def log(text):
+        print(f"[{time.monotonic() - started:6.1f}] {text}", flush=True)
+
+    shape = Shape(ring="faults", engines_per_domain=2, services_per_domain=1,
+                  engine_args=["--decode-base-ms", "2",
+                               "--answer-tokens-max", "32"])
+    log(f"seed {args.seed}, {args.programs} programs, {args.seconds} s")
+    with Ring(shape, keep=args.keep) as ring:
+        links = Links(ring, ring.domains[-1])
+        ring.start()
+        log("ring is up")
+        operators = Operators(ring, args.seed)
+        watch = VersionWatch(ring)
+        callers = [Caller(ring, number, args.seed, args.turns, BUDGET_TOKENS)
+                   for number in range(args.programs)]
+        for thread in [operators, watch] + callers:
+            thread.start()
+        faults = Faults(ring, links, args.seed, log)
+        faults.run(args.seconds)
+        log("faults are over; waiting for the callers")
+        ring.wait("everything is ready", lambda: all(
+            ring.is_ready(entry.admin) for entry in ring.entries))
+        ring.wait("upstreams are announced", ring.all_announced)
+        for caller in callers:
+            caller.join(150)
+            if caller.is_alive():
+                caller.record.problems.append("did not end in time")
+        operators.stopping.set()
+        operators.join()
+        problems = check_config(ring, operators)
+        watch.stopping.set()
+        watch.join()
+        problems += watch.problems
+        problems += check_programs(ring, callers)
+        purchases, outcomes = check_purchases(ring, callers)
+        answers, checked = check_answers(ring, callers)
+        problems += purchases + answers + check_release(ring, callers)
+        failed = ring.stop()
+        problems += [f"exit code {item}" for item in failed]
+        complete = sum(caller.record.complete for caller in callers)
+        turns = sum(len(caller.record.messages) // 2 for caller in callers)
+        log(f"faults {faults.counts}")
+        log(f"programs complete {complete} of {len(callers)}, model turns "
+            f"{turns}, failed turns "
+            f"{sum(c.record.failed_turns for c in callers)}, purchases "
+            f"{outcomes}, answers compared {checked}, notes "
+            f"{len(operators.accepted)}, conflicts {operators.conflicts}")
+        for problem in problems:
+            log("PROBLEM " + problem)
+        if problems:
+            ring.keep = True
+        log("FAILED" if problems else "PASSED")
+        return 1 if problems else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=int, default=40)
+    parser.add_argument("--programs", type=int, default=16)
+    parser.add_argument("--turns", type=int, default=TURNS)
+    parser.add_argument("--keep", action="store_true",
+                        help="keep settings, data and logs")
+    args = parser.parse_args()
+    try:
+        return run(args)
+    except (RuntimeError, OSError, subprocess.SubprocessError) as error:
+        print(f"FAILED seed {args.seed}: {error}")
+        return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/ringlab.py
+++ b/tools/ringlab.py
@@ -121,6 +121,8 @@
     health: int
     metrics: int
     process: Process = None
+    replica: int = 0       # Id of its replicas, the same in each group.
+    joins: bool = False    # Its replicas join groups that exist.
 
 
 @dataclass
@@ -180,7 +182,8 @@
         for number, domain in enumerate(self.domains, 1):
             self.keepers.append(Keeper(f"keeper-{number}", domain,
                                        shape.domains[domain], next(ports),
-                                       next(ports), next(ports)))
+                                       next(ports), next(ports),
+                                       replica=number))
         for domain in self.domains:
             for number in range(1, shape.entries_per_domain + 1):
                 self.entries.append(Entry(
@@ -195,6 +198,9 @@
                     f"service-{domain}-{number}", domain, "service",
                     next(ports)))
 
+    def groups(self):
+        return ["control"] + self.domains
+
     def path(self, *parts):
         return os.path.join(self.folder, *parts)
 
@@ -209,9 +215,9 @@
         return f"{HOST}:{self.routes.get((origin, target), port)}"
 
     def keeper_settings(self, keeper):
-        members = [{"replica": number, "node": other.name}
-                   for number, other in enumerate(self.keepers, 1)]
-        number = self.keepers.index(keeper) + 1
+        members = [] if keeper.joins else [
+            {"replica": number, "node": other.name}
+            for number, other in enumerate(self.keepers, 1)]
         return {
             "ring": self.shape.ring, "node": keeper.name,
             "domain": keeper.domain, "region": keeper.region,
@@ -223,9 +229,9 @@
                          "address": self._address(keeper.name, other.name,
                                                   other.wire)}
                         for other in self.keepers],
-            "groups": [{"name": group, "replica": number,
+            "groups": [{"name": group, "replica": keeper.replica,
                         "initial_members": members}
-                       for group in ["control"] + self.domains],
+                       for group in self.groups()],
             **self.shape.keeper_settings,
         }
 
@@ -302,6 +308,32 @@
             self.start_upstream(upstream)
         self.wait("upstreams are announced", self.all_announced)
 
+    def replace_replicas(self, keeper, replica):
+        """Gives a stopped keeper an empty folder and replicas with a new id:
+        removes the old replicas, adds the new ones, starts the keeper."""
+        shutil.rmtree(self.path("data", keeper.name))
+        old = keeper.replica
+        for group in self.groups():
+            self.ringctl_until_done("replica", "remove", group, str(old))
+            self.ringctl_until_done("replica", "add", group, str(replica),
+                                    keeper.name)
+        keeper.replica = replica
+        keeper.joins = True
+        self.initialize_keeper(keeper)
+        self.start_keeper(keeper)
+
+    def ringctl_until_done(self, *args, timeout=20):
+        """Repeats a command while a group elects a leader."""
+        deadline = time.monotonic() + timeout
+        while True:
+            result = self.ringctl(*args, check=False)
+            if result.returncode == 0:
+                return result
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"ringctl {' '.join(args)}: "
+                                   f"{result.stderr or result.stdout}")
+            time.sleep(0.3)
+
     def is_ready(self, port):
         try:
             return request(port, "GET", "/readyz", timeout=2)[0] == 200
