--- a/fakes/fake_disk.h
+++ b/fakes/fake_disk.h
@@ -20,6 +20,9 @@
     struct File {
       std::string durable;
       std::string cached;  ///< What a reader sees before a power cut.
+      /// A sync failed: later syncs report success without writing the pages
+      /// that the failed one dropped, as file systems do.
+      bool pages_dropped = false;
     };
     std::map<std::string, File> files;
     int64_t operations = 0;  ///< Writing operations so far.
@@ -44,6 +47,7 @@
       if (file.cached.starts_with(file.durable)) {
         kept += file.cached.substr(file.durable.size(), kept_unsynced_bytes);
       }
+      file.pages_dropped = false;
       file.durable = kept;
       file.cached = std::move(kept);
     }
@@ -89,12 +93,15 @@
   }
 
   Status Sync(const std::string& name) override {
+    Medium::File& file = medium_->files[name];
     if (Fails()) {
+      file.pages_dropped = true;
       return Failure();
     }
     ++medium_->syncs;
-    Medium::File& file = medium_->files[name];
-    file.durable = file.cached;
+    if (!file.pages_dropped) {
+      file.durable = file.cached;
+    }
     return Done{};
   }
 
@@ -103,7 +110,7 @@
       return Failure();
     }
     ++medium_->syncs;
-    medium_->files[name] = {std::string(bytes), std::string(bytes)};
+    medium_->files[name] = {std::string(bytes), std::string(bytes), false};
     return Done{};
   }
 
--- a/tests/log_cluster.h
+++ b/tests/log_cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -22,6 +23,7 @@
   struct Faults {
     double drop = 0;
     double duplicate = 0;
+    double delay = 0;  ///< Share of messages that arrive 1 to 30 ticks later.
     bool reorder = false;
   };
 
@@ -35,10 +37,11 @@
     std::set<uint64_t> reads;
     std::set<uint64_t> failed_reads;
     bool running = false;
+    std::map<uint64_t, uint64_t> read_floor;  ///< Read to lowest valid index.
   };
 
-  explicit LogCluster(uint64_t seed, std::vector<ReplicaNumber> voters = {1, 2,
-                                                                          3})
+  explicit LogCluster(uint64_t seed,
+                      std::vector<ReplicaNumber> voters = {1, 2, 3})
       : seed_(seed), rng_(seed) {
     for (const ReplicaNumber id : voters) {
       initial_.push_back({id, NodeName(id), true});
@@ -106,7 +109,11 @@
   /// Advances all replicas by one tick and delivers messages.
   void Tick(int count = 1) {
     for (int i = 0; i < count; ++i) {
-      now_ms_ += 10;
+      now_ms_ += kTickMs;
+      while (!delayed_.empty() && delayed_.begin()->first <= now_ms_) {
+        queue_.push_back(std::move(delayed_.begin()->second));
+        delayed_.erase(delayed_.begin());
+      }
       for (auto& [id, node] : nodes_) {
         if (node.running) {
           node.replica->Tick(now_ms_);
@@ -179,6 +186,18 @@
     return nodes_[id].state.find(command + ";") != std::string::npos;
   }
 
+  /// Starts a read that must see everything applied anywhere so far.
+  bool Read(ReplicaNumber id, uint64_t read) {
+    node(id).read_floor[read] =
+        committed_.empty() ? 0 : committed_.rbegin()->first;
+    return static_cast<bool>(replica(id).ReadIndex(read));
+  }
+
+  bool IsVoter(ReplicaNumber id) {
+    const Member* member = replica(Leader()).config().Find(id);
+    return member != nullptr && member->voter;
+  }
+
   void TakeSnapshot(ReplicaNumber id) {
     Node& node = nodes_[id];
     const SnapshotMeta meta = node.replica->AppliedMeta();
@@ -199,6 +218,8 @@
   void set_now_ms(int64_t now_ms) { now_ms_ = now_ms; }
 
  private:
+  static constexpr int64_t kTickMs = 10;
+
   bool Settled(ReplicaNumber id) {
     const ReplicaStatus status = nodes_[id].replica->status();
     return nodes_[id].replica->TermAt(status.commit_index) == status.term;
@@ -226,7 +247,11 @@
         node.applied.push_back(entry);
       }
     }
-    node.reads.insert(ready.reads.begin(), ready.reads.end());
+    for (const uint64_t read : ready.reads) {
+      ASSERT_GE(node.replica->status().applied_index, node.read_floor[read])
+          << "stale read, seed " << seed_;
+      node.reads.insert(read);
+    }
     node.failed_reads.insert(ready.failed_reads.begin(),
                              ready.failed_reads.end());
   }
@@ -248,6 +273,12 @@
     if (Chance(faults_.duplicate)) {
       queue_.push_back(message);
     }
+    if (Chance(faults_.delay)) {
+      constexpr int64_t kMaxDelayTicks = 30;
+      const int64_t ticks = UniformMs(rng_, 1, kMaxDelayTicks);
+      delayed_.emplace(now_ms_ + ticks * kTickMs, std::move(message));
+      return;
+    }
     queue_.push_back(std::move(message));
   }
 
@@ -276,6 +307,7 @@
   std::map<ReplicaNumber, Node> nodes_;
   std::set<std::pair<ReplicaNumber, ReplicaNumber>> cut_;
   std::deque<RaftMessage> queue_;
+  std::multimap<int64_t, RaftMessage> delayed_;
   std::map<uint64_t, LogEntry> committed_;
   Faults faults_;
   int64_t now_ms_ = 1'000;
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -1,10 +1,17 @@
-#include <algorithm>
-
 #include "tests/log_cluster.h"
 
 namespace ring {
 namespace {
 
+ReplicaNumber Other(ReplicaNumber a, ReplicaNumber b = 0) {
+  for (ReplicaNumber id = 1; id <= 3; ++id) {
+    if (id != a && id != b) {
+      return id;
+    }
+  }
+  return 0;
+}
+
 // Guards against a group that loses or reorders committed entries.
 TEST(ReplicaCommit, ThreeReplicas_ApplySameEntriesEverywhere) {
   LogCluster cluster(1);
@@ -19,5 +26,270 @@
   }
 }
 
+// Guards against a replica that was cut off and deposes a working leader when
+// it returns.
+TEST(ReplicaPreVote, IsolatedReplicaReturns_LeaderAndTermStay) {
+  LogCluster cluster(2);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  const uint64_t term = cluster.replica(leader).status().term;
+  cluster.Isolate(Other(leader));
+  cluster.Tick(300);
+  cluster.Heal();
+  cluster.Tick(100);
+  EXPECT_EQ(cluster.Leader(), leader);
+  EXPECT_EQ(cluster.replica(leader).status().term, term);
+}
+
+// Guards against a replica that cannot hear the leader, but reaches the other
+// follower, and moves leadership back and forth.
+TEST(ReplicaLease, LinkToLeaderCut_FollowersKeepTheLeader) {
+  LogCluster cluster(3);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  const uint64_t term = cluster.replica(leader).status().term;
+  cluster.Cut(leader, Other(leader));
+  // The cut replica is as up to date as the others.
+  cluster.Tick(300);
+  EXPECT_EQ(cluster.replica(leader).status().term, term);
+  EXPECT_TRUE(cluster.replica(leader).is_leader());
+}
+
+// Guards against an isolated leader that goes on answering.
+TEST(ReplicaCheckQuorum, IsolatedLeader_StepsDownAndFailsItsReads) {
+  LogCluster cluster(4);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  cluster.Isolate(leader);
+  ASSERT_TRUE(cluster.Read(leader, 1));
+  ASSERT_TRUE(cluster.replica(leader).Propose("lost", cluster.now_ms()));
+  cluster.Tick(25);
+  EXPECT_FALSE(cluster.replica(leader).is_leader());
+  EXPECT_EQ(cluster.node(leader).failed_reads, std::set<uint64_t>{1});
+  EXPECT_FALSE(cluster.Applied(leader, "lost"));
+}
+
+// Guards against a stale read at a leader that was replaced but does not know.
+TEST(ReplicaReadBarrier, ReplacedLeaderCutOff_AnswersNoRead) {
+  LogCluster cluster(5);
+  const ReplicaNumber old_leader = cluster.WaitLeader();
+  ASSERT_TRUE(cluster.Commit("a"));
+  const ReplicaNumber target = Other(old_leader);
+  cluster.Isolate(old_leader);
+  // The others elect a leader before check-quorum reaches the old one.
+  RaftMessage order;
+  order.kind = RaftKind::kTimeoutNow;
+  order.from = old_leader;
+  order.to = target;
+  order.term = cluster.replica(target).status().term;
+  cluster.replica(target).Step(order, cluster.now_ms());
+  cluster.Drain();
+  ASSERT_TRUE(cluster.replica(target).is_leader());
+  ASSERT_TRUE(cluster.replica(old_leader).is_leader());
+  ASSERT_TRUE(cluster.replica(target).Propose("b", cluster.now_ms()));
+  cluster.Drain();
+  ASSERT_TRUE(cluster.Applied(target, "b"));
+  ASSERT_TRUE(cluster.Read(old_leader, 1));
+  cluster.Drain();
+  EXPECT_TRUE(cluster.node(old_leader).reads.empty());
+  ASSERT_TRUE(cluster.Read(target, 2));
+  cluster.Drain();
+  EXPECT_EQ(cluster.node(target).reads.size(), 1u);
+}
+
+// Guards against a replica that cannot return after the log was compacted, or
+// returns with entries that were never committed.
+TEST(ReplicaReturn, StaleLeaderAfterLongIsolation_TakesChunkedSnapshot) {
+  LogCluster cluster(6);
+  const ReplicaNumber old_leader = cluster.WaitLeader();
+  cluster.Isolate(old_leader);
+  for (int i = 0; i < 30; ++i) {
+    cluster.replica(old_leader).Propose("stale", cluster.now_ms());
+  }
+  cluster.Tick(60);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  ASSERT_NE(leader, old_leader);
+  for (int i = 0; i < 40; ++i) {
+    ASSERT_TRUE(cluster.Commit("c" + std::to_string(i)));
+  }
+  for (ReplicaNumber id = 1; id <= 3; ++id) {
+    if (id != old_leader) {
+      cluster.TakeSnapshot(id);
+    }
+  }
+  cluster.Heal();
+  cluster.Tick(60);
+  EXPECT_EQ(cluster.node(old_leader).state, cluster.node(leader).state);
+  EXPECT_EQ(cluster.replica(old_leader).status().snapshot_index,
+            cluster.replica(leader).status().snapshot_index);
+  EXPECT_FALSE(cluster.Applied(old_leader, "stale"));
+  // What it installed is on its disk.
+  cluster.Crash(old_leader);
+  cluster.Start(old_leader);
+  cluster.Tick(60);
+  EXPECT_EQ(cluster.node(old_leader).state, cluster.node(leader).state);
+}
+
+// Guards against one message for each conflicting entry.
+TEST(ReplicaConflictHint, ManyConflictingEntries_AreSkippedInFewMessages) {
+  LogCluster cluster(7);
+  const ReplicaNumber old_leader = cluster.WaitLeader();
+  cluster.Isolate(old_leader);
+  for (int i = 0; i < 400; ++i) {
+    cluster.replica(old_leader).Propose("stale", cluster.now_ms());
+  }
+  cluster.Tick(80);
+  ASSERT_TRUE(cluster.Commit("a"));
+  cluster.Heal();
+  const uint64_t before = cluster.messages_sent();
+  ASSERT_TRUE(
+      cluster.TickUntil([&] { return cluster.Applied(old_leader, "a"); }));
+  EXPECT_LT(cluster.messages_sent() - before, 60u);
+}
+
+// Guards against time that goes back in the log when the leader's clock does.
+TEST(ReplicaTime, ClockGoesBack_EntryTimesDoNot) {
+  LogCluster cluster(8);
+  cluster.WaitLeader();
+  cluster.set_now_ms(50'000);
+  ASSERT_TRUE(cluster.Commit("a"));
+  cluster.set_now_ms(2'000);
+  ASSERT_TRUE(cluster.Commit("b"));
+  for (ReplicaNumber id = 1; id <= 3; ++id) {
+    cluster.TakeSnapshot(id);
+    cluster.Crash(id);
+    cluster.Start(id);
+  }
+  cluster.WaitLeader();
+  ASSERT_TRUE(cluster.Commit("c"));
+  EXPECT_GE(cluster.node(cluster.Leader()).applied.back().time_ms, 50'000);
+}
+
+TEST(ReplicaTransfer, TargetBehind_CatchesUpAndTakesOver) {
+  LogCluster cluster(9);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  const ReplicaNumber target = Other(leader);
+  ASSERT_TRUE(cluster.replica(leader).Propose("a", cluster.now_ms()));
+  ASSERT_TRUE(cluster.replica(leader).TransferLeader(target));
+  EXPECT_EQ(
+      cluster.replica(leader).Propose("b", cluster.now_ms()).refusal().reason,
+      Reason::kNotLeader);
+  cluster.Tick(2);
+  EXPECT_TRUE(cluster.replica(target).is_leader());
+  EXPECT_TRUE(cluster.Applied(target, "a"));
+  EXPECT_FALSE(cluster.replica(target).TransferLeader(target));
+}
+
+// Guards against a transfer to a dead replica that blocks proposals for good.
+TEST(ReplicaTransfer, TargetDead_LeaderGoesOnAfterAnElectionTimeout) {
+  LogCluster cluster(10);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  cluster.Crash(Other(leader));
+  ASSERT_TRUE(cluster.Commit("a"));
+  ASSERT_TRUE(cluster.replica(leader).TransferLeader(Other(leader)));
+  cluster.Tick(12);
+  EXPECT_TRUE(cluster.Commit("b"));
+}
+
+// Guards against two majorities that share no member.
+TEST(ReplicaMembers, SecondChangeUnderWay_IsRefused) {
+  LogCluster cluster(11);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  const int64_t now_ms = cluster.now_ms();
+  ASSERT_TRUE(cluster.replica(leader).AddMember(4, "k4", now_ms));
+  EXPECT_EQ(cluster.replica(leader)
+                .RemoveMember(Other(leader), now_ms)
+                .refusal()
+                .reason,
+            Reason::kConflict);
+  cluster.Tick(5);
+  EXPECT_EQ(cluster.replica(leader).AddMember(4, "k4", now_ms).refusal().reason,
+            Reason::kConflict);
+  EXPECT_EQ(cluster.replica(leader).RemoveMember(9, now_ms).refusal().reason,
+            Reason::kNotAllowed);
+}
+
+// Guards against a change that only an isolated leader knows staying in effect.
+TEST(ReplicaMembers, ChangeOfIsolatedLeader_IsTakenBack) {
+  LogCluster cluster(12);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  const LogConfig before = cluster.replica(leader).config();
+  cluster.Isolate(leader);
+  ASSERT_TRUE(cluster.replica(leader).RemoveMember(Other(leader), 0));
+  cluster.Tick(60);
+  ASSERT_TRUE(cluster.Commit("a"));
+  cluster.Heal();
+  cluster.Tick(60);
+  EXPECT_EQ(cluster.replica(leader).config(), before);
+}
+
+// Guards against a new voter that counts before it holds what is committed.
+TEST(ReplicaPromotion, LearnerCutOff_BecomesVoterOnlyOnceSynced) {
+  LogCluster cluster(13);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  for (int i = 0; i < 30; ++i) {
+    ASSERT_TRUE(cluster.Commit("c" + std::to_string(i)));
+  }
+  cluster.TakeSnapshot(leader);
+  cluster.Create(4, {});
+  cluster.Isolate(4);
+  ASSERT_TRUE(cluster.replica(leader).AddMember(4, "k4", cluster.now_ms()));
+  cluster.Tick(200);
+  EXPECT_FALSE(cluster.IsVoter(4));
+  EXPECT_EQ(cluster.replica(4).status().role, ReplicaRole::kLearner);
+  cluster.Heal();
+  ASSERT_TRUE(cluster.TickUntil([&] {
+    if (cluster.IsVoter(4)) {
+      return true;
+    }
+    return false;
+  }));
+  EXPECT_GE(cluster.replica(4).status().last_index, 31u);
+  cluster.Tick(5);
+  EXPECT_EQ(cluster.node(4).state, cluster.node(leader).state);
+}
+
+// Guards against history that is lost when a second replica fails right after
+// the repair of the first.
+TEST(ReplicaRepair, SecondReplicaLostRightAfterRepair_KeepsAllEntries) {
+  for (uint64_t seed = 20; seed < 40; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    LogCluster cluster(seed);
+    const ReplicaNumber leader = cluster.WaitLeader();
+    const ReplicaNumber lost = Other(leader);
+    const ReplicaNumber second = seed % 2 == 0 ? leader : Other(leader, lost);
+    ASSERT_TRUE(cluster.Commit("a"));
+    cluster.Crash(lost);
+    ASSERT_TRUE(cluster.Commit("b"));
+    ASSERT_TRUE(cluster.replica(leader).RemoveMember(lost, cluster.now_ms()));
+    cluster.Tick(5);
+    cluster.Create(4, {});
+    ASSERT_TRUE(cluster.replica(leader).AddMember(4, "k4", cluster.now_ms()));
+    ASSERT_TRUE(cluster.TickUntil([&] { return cluster.IsVoter(4); }));
+    cluster.Crash(second);
+    ASSERT_TRUE(cluster.TickUntil([&] {
+      return cluster.Leader() != 0 && cluster.Leader() != second &&
+             cluster.Commit("c");
+    }));
+    EXPECT_TRUE(cluster.Applied(4, "a"));
+    EXPECT_TRUE(cluster.Applied(4, "b"));
+  }
+}
+
+// Guards against committed entries that are lost because a replica without its
+// data votes. The folder was prepared again under the old id by mistake.
+TEST(ReplicaLostDisk, ReplicaWithoutEntries_NeverVotes) {
+  LogCluster cluster(14);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  const ReplicaNumber wiped = Other(leader);
+  const ReplicaNumber stale = Other(leader, wiped);
+  cluster.Isolate(stale);
+  ASSERT_TRUE(cluster.Commit("a"));
+  cluster.Create(wiped, {});
+  cluster.Heal();
+  cluster.Isolate(leader);
+  cluster.Tick(400);
+  EXPECT_FALSE(cluster.replica(stale).is_leader());
+  cluster.Heal();
+  ASSERT_TRUE(cluster.TickUntil([&] { return cluster.Applied(wiped, "a"); }));
+}
+
 }  // namespace
 }  // namespace ring
--- /dev/null
+++ b/tests/log_wal_test.cc
@@ -0,0 +1,272 @@
+#include <gtest/gtest.h>
+
+#include "fakes/fake_disk.h"
+#include "persimmonring/log.h"
+
+namespace ring {
+namespace {
+
+const WalIdentity kIdentity = {"r", "g", 1};
+
+LogEntry Entry(uint64_t index, uint64_t term = 1) {
+  return {term, index, 100, EntryKind::kCommand,
+          "data-" + std::to_string(index) + "-" + std::to_string(term)};
+}
+
+class WalTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    ASSERT_TRUE(Wal::Initialize(disk_, kIdentity, members_));
+  }
+
+  Outcome<std::unique_ptr<Wal>> Open() {
+    return Wal::Open(disk_, {.identity = kIdentity});
+  }
+
+  // Entries 2 to 4, one record each.
+  void WriteThree() {
+    auto wal = Open();
+    ASSERT_TRUE(wal);
+    for (uint64_t index = 2; index <= 4; ++index) {
+      ASSERT_TRUE((*wal)->Append(HardState{1, 1}, {Entry(index)}));
+    }
+  }
+
+  std::string& log() {
+    FakeDisk::Medium::File& file = medium_->files.at("log");
+    file.durable = file.cached;
+    return file.cached;
+  }
+
+  const std::vector<Member> members_ = {{1, "k1", true}};
+  std::shared_ptr<FakeDisk::Medium> medium_ =
+      std::make_shared<FakeDisk::Medium>();
+  FakeDisk disk_{medium_};
+};
+
+TEST_F(WalTest, ReopenAfterAppends_ReturnsStateAndEntries) {
+  WriteThree();
+  const auto wal = Open();
+  ASSERT_TRUE(wal);
+  const DurableState& state = (*wal)->recovered();
+  EXPECT_EQ(state.hard_state, (HardState{1, 1}));
+  EXPECT_EQ(state.snapshot.config.members, members_);
+  EXPECT_EQ(state.start_index, 1u);
+  EXPECT_EQ(state.entries, (std::vector{Entry(2), Entry(3), Entry(4)}));
+}
+
+// Guards against entries of a deposed leader that come back after a restart.
+TEST_F(WalTest, AppendAtEarlierIndex_ReplacesLaterEntries) {
+  WriteThree();
+  {
+    auto wal = Open();
+    ASSERT_TRUE((*wal)->Append(HardState{2, 0}, {Entry(3, 2)}));
+  }
+  EXPECT_EQ((*Open())->recovered().entries,
+            (std::vector{Entry(2), Entry(3, 2)}));
+}
+
+// Guards against a keeper that cannot start after a power cut in a write, and
+// against one that drops more than the record that was being written.
+TEST_F(WalTest, TornLastRecord_IsCutAtEveryLength) {
+  WriteThree();
+  const size_t two = [&] {
+    const std::string before = log();
+    auto wal = Open();
+    const size_t size = log().size();
+    EXPECT_TRUE((*wal)->Append({}, {Entry(5)}));
+    return size;
+  }();
+  const std::string whole = log();
+  for (size_t size = two; size < whole.size(); ++size) {
+    log() = whole.substr(0, size);
+    log();
+    const auto wal = Open();
+    ASSERT_TRUE(wal) << "cut to " << size << ": " << wal.refusal().message;
+    EXPECT_EQ((*wal)->recovered().entries.size(), 3u) << "cut to " << size;
+    EXPECT_EQ((*wal)->cut_bytes(), size - two);
+  }
+}
+
+// Guards against a sector that was never written being taken for damage.
+TEST_F(WalTest, UnwrittenSectorInLastRecord_IsCut) {
+  auto wal = Open();
+  const size_t before = log().size();
+  LogEntry large = Entry(2);
+  large.data = std::string(4'000, 'x');
+  ASSERT_TRUE((*wal)->Append({}, {large}));
+  std::string& bytes = log();
+  const size_t sector = (before / 512 + 3) * 512;
+  std::fill_n(bytes.begin() + static_cast<std::ptrdiff_t>(sector), 512, '\0');
+  log();
+  const auto reopened = Open();
+  ASSERT_TRUE(reopened) << reopened.refusal().message;
+  EXPECT_TRUE((*reopened)->recovered().entries.empty());
+}
+
+// Guards against damaged synced records that are dropped silently: every bit of
+// the log file is flipped in turn.
+TEST_F(WalTest, FlippedBit_IsCorruptDataAndNeverDropsEntries) {
+  WriteThree();
+  const std::string whole = log();
+  for (size_t bit = 0; bit < whole.size() * 8; ++bit) {
+    log() = whole;
+    FakeDisk::FlipBit(*medium_, "log", bit);
+    log();
+    const auto wal = Open();
+    ASSERT_FALSE(wal) << "bit " << bit;
+    EXPECT_EQ(wal.refusal().reason, Reason::kCorruptData);
+    EXPECT_NE(wal.refusal().message.find("damaged"), std::string::npos)
+        << wal.refusal().message;
+  }
+}
+
+TEST_F(WalTest, DamagedSnapshotOrIdentity_IsCorruptData) {
+  for (const char* file : {"snapshot", "identity.json"}) {
+    const FakeDisk::Medium saved = *medium_;
+    FakeDisk::FlipBit(*medium_, file, 20 * 8);
+    const auto wal = Open();
+    ASSERT_FALSE(wal) << file;
+    EXPECT_EQ(wal.refusal().reason, Reason::kCorruptData);
+    *medium_ = saved;
+  }
+}
+
+// Guards against a lost disk that votes again under its old id, and against a
+// folder that is mounted at the wrong place.
+TEST_F(WalTest, EmptyOrForeignFolder_IsRefused) {
+  const struct {
+    WalIdentity identity;
+    bool empty;
+    const char* text;
+  } cases[] = {
+      {{"r", "g", 1}, true, "holds no identity.json"},
+      {{"r", "g", 2}, false, "belongs to replica 1 of group 'g'"},
+      {{"r", "h", 1}, false, "not to replica 1 of group 'h'"},
+      {{"s", "g", 1}, false, "of ring 's'"},
+  };
+  for (const auto& test : cases) {
+    FakeDisk empty(std::make_shared<FakeDisk::Medium>());
+    DiskI& disk = test.empty ? empty : disk_;
+    const auto wal = Wal::Open(disk, {.identity = test.identity});
+    ASSERT_FALSE(wal);
+    EXPECT_EQ(wal.refusal().reason, Reason::kCorruptData);
+    EXPECT_NE(wal.refusal().message.find(test.text), std::string::npos)
+        << wal.refusal().message;
+  }
+}
+
+// Guards against --initialize wiping the vote of a replica whose identity file
+// was lost.
+TEST_F(WalTest, InitializeOverUsedLogWithoutIdentity_IsRefused) {
+  WriteThree();
+  ASSERT_TRUE(disk_.Remove("identity.json"));
+  const Status status = Wal::Initialize(disk_, kIdentity, members_);
+  EXPECT_EQ(status.refusal().reason, Reason::kCorruptData);
+}
+
+// Guards against a log that does not fit the snapshot when the process ends
+// between the two replacements.
+TEST_F(WalTest, CrashBetweenSnapshotAndLog_KeepsConsistentState) {
+  const struct {
+    SnapshotMeta meta;
+    size_t entries_left;
+  } cases[] = {
+      {{3, 1, 100, {members_}}, 3},  // The log holds the entry: all stay.
+      {{3, 2, 100, {members_}}, 0},  // Another entry: the log is overtaken.
+      {{9, 2, 100, {members_}}, 0},  // Beyond the log.
+  };
+  for (const auto& test : cases) {
+    const FakeDisk::Medium saved = *medium_;
+    WriteThree();
+    auto wal = Open();
+    medium_->fail_at = medium_->operations + 2;
+    EXPECT_FALSE((*wal)->SaveSnapshot({test.meta, "state"}, {2, 0}, 9, 2, {}));
+    FakeDisk::CutPower(*medium_);
+    const auto reopened = Open();
+    ASSERT_TRUE(reopened) << reopened.refusal().message;
+    EXPECT_EQ((*reopened)->recovered().snapshot, test.meta);
+    EXPECT_EQ((*reopened)->recovered().entries.size(), test.entries_left);
+    EXPECT_EQ((*reopened)->recovered().hard_state, (HardState{1, 1}));
+    *medium_ = saved;
+  }
+}
+
+struct DiskFault {
+  bool power_cut;
+  size_t partial_bytes;
+  size_t kept_bytes;
+};
+
+class WalDiskFault : public testing::TestWithParam<DiskFault> {};
+
+// Guards against an acknowledged write that is lost, and against a store that
+// goes on after a failed write. Every writing operation fails in turn.
+TEST_P(WalDiskFault, FailAtEveryOperation_KeepsAllAcknowledgedEntries) {
+  for (int64_t fail_at = 1; fail_at < 40; ++fail_at) {
+    auto medium = std::make_shared<FakeDisk::Medium>();
+    FakeDisk disk(medium);
+    ASSERT_TRUE(Wal::Initialize(disk, kIdentity, {{1, "k1", true}}));
+    medium->fail_at = medium->operations + fail_at;
+    medium->partial_bytes = GetParam().partial_bytes;
+    uint64_t acknowledged = 1;
+    HardState hard_state;
+    for (int round = 0; round < 4; ++round) {
+      auto wal = Wal::Open(disk, {.identity = kIdentity});
+      if (!wal) {
+        ASSERT_EQ(wal.refusal().reason, Reason::kStorageFailed);
+        continue;
+      }
+      const auto& found = (*wal)->recovered();
+      const uint64_t last = std::max(found.start_index + found.entries.size(),
+                                     found.snapshot.index);
+      ASSERT_GE(last, acknowledged) << "operation " << fail_at;
+      ASSERT_GE(found.hard_state, hard_state);
+      acknowledged = last;
+      Status status = Done{};
+      for (int i = 0; i < 3 && status; ++i) {
+        const HardState next = {hard_state.term + 1, 1};
+        status = (*wal)->Append(next, {Entry(acknowledged + 1)});
+        if (status) {
+          ++acknowledged;
+          hard_state = next;
+        }
+      }
+      if (status) {
+        status = (*wal)->SaveSnapshot(
+            {{acknowledged, 1, 100, {{{1, "k1", true}}}}, "s"}, hard_state,
+            acknowledged, 1, {});
+      }
+      if (!status) {
+        EXPECT_FALSE((*wal)->Append({}, {Entry(acknowledged + 1)}));
+      }
+      if (GetParam().power_cut) {
+        FakeDisk::CutPower(*medium, GetParam().kept_bytes);
+      }
+    }
+  }
+}
+
+// Guards against entries that were read back after a failed sync, counted as
+// synced, and lost by the next power cut.
+TEST_F(WalTest, ReopenAfterFailedSync_MakesEntriesDurableBeforeUse) {
+  {
+    auto wal = Open();
+    medium_->fail_at = medium_->operations + 2;
+    EXPECT_FALSE((*wal)->Append({}, {Entry(2)}));
+  }
+  ASSERT_EQ((*Open())->recovered().entries.size(), 1u);
+  FakeDisk::CutPower(*medium_);
+  EXPECT_EQ((*Open())->recovered().entries.size(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         WalDiskFault,
+                         testing::Values(DiskFault{false, 0, 0},
+                                         DiskFault{false, 7, 0},
+                                         DiskFault{true, 0, 0},
+                                         DiskFault{true, 33, 5},
+                                         DiskFault{true, 33, 1'000}));
+
+}  // namespace
+}  // namespace ring
