--- /dev/null
+++ b/tests/control_plan_test.cc
@@ -0,0 +1,92 @@
+#include <gtest/gtest.h>
+
+#include "persimmonring/control.h"
+
+namespace ring {
+namespace {
+
+using Items = std::map<std::string, std::string>;
+
+const Items kItems = {
+    {"model/m", R"({"kind":"model","name":"m","version":"2","role":"decode"})"},
+    {"model/n",
+     R"({"kind":"model","name":"n","version":"1","upstreams":["u2"]})"},
+    {"adapter/a", R"({"kind":"adapter","name":"a","model":"m","version":"5"})"},
+    {"team/t", R"({"kind":"team","name":"t"})"}};
+
+std::vector<std::string> Names(const std::vector<PlannedOrder>& orders) {
+  std::vector<std::string> names;
+  for (const PlannedOrder& order : orders) {
+    names.push_back(order.upstream + " " + order.action + " " + order.model +
+                    order.adapter + order.version + order.role);
+  }
+  return names;
+}
+
+struct PlanCase {
+  const char* what;
+  Items items;
+  UpstreamReport report;
+  std::vector<std::string> orders;
+};
+
+// Guards against orders that are missing, superfluous or in an order that the
+// engine cannot carry out.
+TEST(PlanOrders, DifferenceOfOneEngine_GivesItsOrders) {
+  const PlanCase kCases[] = {
+      {"empty engine: the adapter waits for its model",
+       kItems,
+       {"u1", R"({"models":[],"adapters":[],"role":"decode"})"},
+       {"u1 load_model m2"}},
+      {"old version and adapter to load",
+       kItems,
+       {"u1", R"({"models":[{"name":"m","version":"1"}],"role":"decode"})"},
+       {"u1 load_model m2", "u1 load_adapter ma5"}},
+      {"nothing to do",
+       kItems,
+       {"u1", R"({"models":[{"name":"m","version":"2"}],
+                  "adapters":[{"name":"a","model":"m","version":"5"}],
+                  "role":"decode"})"},
+       {}},
+      {"unload comes first, then role",
+       kItems,
+       {"u1", R"({"models":[{"name":"m","version":"2"},{"name":"n"}],
+                  "adapters":[{"name":"a","model":"m","version":"5"},
+                              {"name":"b","model":"n"}],"role":"prefill"})"},
+       {"u1 unload nb", "u1 unload n", "u1 set_role decode"}},
+      {"model for one named engine",
+       kItems,
+       {"u2", R"({"models":[{"name":"m","version":"2"}],
+                  "adapters":[{"name":"a","model":"m","version":"5"}],
+                  "role":"decode"})"},
+       {"u2 load_model n1"}},
+      {"no model in the description: nothing is unloaded",
+       {},
+       {"u1", R"({"models":[{"name":"m","version":"2"}]})"},
+       {}},
+      {"report that cannot be read", kItems, {"u1", "not json"}, {}},
+      {"report of another form", kItems, {"u1", R"({"models":[7]})"}, {}},
+  };
+  for (const PlanCase& c : kCases) {
+    EXPECT_EQ(Names(PlanOrders(c.items, {c.report}, 9, 10)), c.orders)
+        << c.what;
+  }
+}
+
+// Guards against a rollout that overloads the rate-limited weight store, and
+// against plans that depend on the order of reports.
+TEST(PlanOrders, LoadTokens_LimitLoadsAcrossEngines) {
+  const UpstreamReport kEmpty[] = {{"u1", "{}"}, {"u2", "{}"}, {"u3", "{}"}};
+  const auto orders =
+      PlanOrders(kItems, {kEmpty[2], kEmpty[0], kEmpty[1]}, 9, 2);
+  EXPECT_EQ(Names(orders),
+            (std::vector<std::string>{"u1 load_model m2", "u1 set_role decode",
+                                      "u2 load_model m2", "u2 set_role decode",
+                                      "u3 set_role decode"}));
+  EXPECT_EQ(orders,
+            PlanOrders(kItems, {kEmpty[0], kEmpty[1], kEmpty[2]}, 9, 2));
+  EXPECT_EQ(orders[0].fence, 9u);
+}
+
+}  // namespace
+}  // namespace ring
--- /dev/null
+++ b/tests/program_machine_test.cc
@@ -0,0 +1,302 @@
+#include "tests/program_fixture.h"
+
+namespace ring {
+namespace {
+
+// Guards against a caller that moves its program to another domain.
+TEST_F(ProgramMachineTest, IdOfAnotherDomain_IsUnknown) {
+  const ProgramId foreign = ProgramId::Generate("tacoma");
+  EXPECT_EQ(Run(OpenOf(foreign, 10)), Reason::kUnknownProgram);
+  EXPECT_EQ(Run(BeginOf(foreign, 1, 1)), Reason::kUnknownProgram);
+  EXPECT_EQ(Run(OpenOf(id_, 10, foreign)), Reason::kUnknownProgram);
+}
+
+// Guards against a second effect of a command whose answer was lost.
+TEST_F(ProgramMachineTest, CommandsAppliedTwice_ChangeTheStateOnce) {
+  RetryCall retry{id_, 1, 1, Attempt(2), Attempt(1), true, kOtherEngine, true};
+  const std::string commands[] = {
+      codec::Encode(OpenOf(id_, 100)),
+      codec::Encode(OpenOf(child_, 30, id_)),
+      codec::Encode(BeginOf(id_, 1, 1)),
+      codec::Encode(retry),
+      codec::Encode(AbortCall{id_, 1, 1, Attempt(2)}),
+      codec::Encode(BeginOf(id_, 1, 3)),
+      codec::Encode(FinishOf(id_, 1, 3)),
+      codec::EncodeAcquire(id_, "entry-2"),
+      codec::EncodeEnd(id_, Reason::kNone),
+      codec::EncodeConfirmRelease(id_, kEngine)};
+  for (size_t i = 0; i < std::size(commands); ++i) {
+    ASSERT_EQ(RunBytes(commands[i]), Reason::kNone) << i;
+    const std::string once = machine_->Save();
+    EXPECT_EQ(RunBytes(commands[i]), Reason::kNone) << i;
+    EXPECT_TRUE(machine_->Save() == once) << i;
+  }
+}
+
+// Guards against the late copy of a BeginCall that begins an aborted call
+// again, which nobody would then send or finish.
+TEST_F(ProgramMachineTest, LateBeginOfAbortedAttempt_IsRefused) {
+  Run(OpenOf(id_, 100));
+  Run(BeginOf(id_, 1, 1));
+  Run(AbortCall{id_, 1, 1, Attempt(1)});
+  EXPECT_EQ(Run(BeginOf(id_, 1, 1)), Reason::kCancelled);
+  EXPECT_EQ(Run(BeginOf(id_, 1, 2)), Reason::kNone);
+}
+
+// Guards against writes of a frozen former owner.
+TEST_F(ProgramMachineTest, StaleEpoch_IsRefusedForEveryOwnersCommand) {
+  Run(OpenOf(id_, 100));
+  BeginCall idempotent = BeginOf(id_, 1, 1);
+  idempotent.idempotent = true;
+  Run(idempotent);
+  ASSERT_EQ(Acquire(id_, "entry-2"), Reason::kNone);
+  const std::string before = machine_->Save();
+  EXPECT_EQ(Run(idempotent), Reason::kStaleEpoch);
+  EXPECT_EQ(Run(RetryCall{id_, 1, 1, Attempt(2), Attempt(1), true, kEngine}),
+            Reason::kStaleEpoch);
+  EXPECT_EQ(Run(AbortCall{id_, 1, 1, Attempt(1)}), Reason::kStaleEpoch);
+  EXPECT_EQ(Run(FinishOf(id_, 1, 1)), Reason::kStaleEpoch);
+  EXPECT_TRUE(machine_->Save() == before);
+  End(id_);
+  EXPECT_EQ(Run(FinishOf(id_, 1, 1)), Reason::kStaleEpoch);
+}
+
+// Guards against calls out of order, twice or side by side.
+TEST_F(ProgramMachineTest, OrderOfCalls_IsEnforced) {
+  Run(OpenOf(id_, 100));
+  EXPECT_EQ(Run(BeginOf(id_, 2, 1)), Reason::kSequenceGap);
+  EXPECT_EQ(Run(BeginOf(id_, 1, 1)), Reason::kNone);
+  EXPECT_EQ(Run(BeginOf(id_, 2, 2)), Reason::kConflict) << "one under way";
+  EXPECT_EQ(Run(BeginOf(id_, 1, 2)), Reason::kConflict) << "begun already";
+  EXPECT_EQ(Run(FinishOf(id_, 1, 2)), Reason::kConflict) << "other attempt";
+  EXPECT_EQ(Run(FinishOf(id_, 1, 1)), Reason::kNone);
+  EXPECT_EQ(Run(BeginOf(id_, 1, 2)), Reason::kConflict) << "finished";
+  BeginCall other = BeginOf(id_, 1, 2);
+  other.digest = "other";
+  EXPECT_EQ(Run(other), Reason::kSequenceReuse);
+  for (uint64_t sequence = 2; sequence <= kKeptAnswers + 1; ++sequence) {
+    Run(BeginOf(id_, sequence, static_cast<int>(sequence) + 10));
+    Run(FinishOf(id_, sequence, static_cast<int>(sequence) + 10));
+  }
+  EXPECT_EQ(Run(BeginOf(id_, 1, 1)), Reason::kAnswerExpired);
+  EXPECT_EQ(Read(id_)->calls.size(), kKeptAnswers);
+}
+
+// Guards against a purchase that runs twice because its caller resends it with
+// the same key under a new sequence number, at any later time.
+TEST_F(ProgramMachineTest, ReusedIdempotencyKey_IsRefusedForever) {
+  Run(OpenOf(id_, 1'000));
+  BeginCall first = BeginOf(id_, 1, 1);
+  first.idempotency_key = "order-17";
+  Run(first);
+  Run(FinishOf(id_, 1, 1));
+  BeginCall again = BeginOf(id_, 2, 2);
+  again.idempotency_key = "order-17";
+  EXPECT_EQ(Run(again), Reason::kSequenceReuse);
+  again.digest = first.digest;
+  EXPECT_EQ(Run(again), Reason::kConflict);
+  for (uint64_t sequence = 2; sequence < 12; ++sequence) {
+    Run(BeginOf(id_, sequence, static_cast<int>(sequence) + 10));
+    Run(FinishOf(id_, sequence, static_cast<int>(sequence) + 10));
+  }
+  again.sequence = 12;
+  EXPECT_EQ(Run(again), Reason::kAnswerExpired);
+}
+
+// Guards against a non-idempotent call that is sent twice by one owner.
+TEST_F(ProgramMachineTest, RetryOfNonIdempotentCall_NeedsKnownNotRun) {
+  Run(OpenOf(id_, 100));
+  Run(BeginOf(id_, 1, 1));
+  RetryCall retry{id_, 1, 1, Attempt(2), Attempt(1), false, kOtherEngine, true};
+  EXPECT_EQ(Run(retry), Reason::kNotAllowed);
+  retry.previous_not_run = true;
+  EXPECT_EQ(Run(retry), Reason::kNone);
+  EXPECT_EQ(Read(id_)->cache_holders,
+            (std::vector<UpstreamId>{kEngine, kOtherEngine}));
+  retry.attempt = Attempt(3);
+  EXPECT_EQ(Run(retry), Reason::kConflict) << "attempt 1 is not the latest";
+}
+
+// Guards against a second run after a takeover, and a lost idempotent call.
+TEST_F(ProgramMachineTest, Takeover_SettlesOnlyNonIdempotentCall) {
+  for (const bool idempotent : {false, true}) {
+    const ProgramId id = idempotent ? child_ : id_;
+    Run(OpenOf(id, 100));
+    BeginCall begin = BeginOf(id, 1, 1);
+    begin.idempotent = idempotent;
+    Run(begin);
+    ASSERT_EQ(Acquire(id, "entry-2"), Reason::kNone);
+    const ProgramState state = *codec::DecodeState(last_);
+    EXPECT_EQ(state.epoch, 2u);
+    begin.epoch = 2;
+    begin.attempt = Attempt(2);
+    begin.upstream = kOtherEngine;
+    if (idempotent) {
+      EXPECT_EQ(state.calls[0].state, CallState::kBegun);
+      EXPECT_EQ(Run(begin), Reason::kNone);
+      EXPECT_EQ(Read(id)->reserved_tokens, 10);
+      EXPECT_EQ(Read(id)->cache_holders.size(), 2u);
+      EXPECT_EQ(Run(FinishOf(id, 1, 2, 2)), Reason::kNone);
+    } else {
+      EXPECT_EQ(state.calls[0].state, CallState::kFinished);
+      EXPECT_EQ(state.calls[0].reason, Reason::kOutcomeUnknown);
+      EXPECT_EQ(state.calls[0].run_state, RunState::kUnknown);
+      EXPECT_EQ(state.used_tokens, 10) << "the whole reserve is charged";
+      EXPECT_EQ(Run(begin), Reason::kConflict);
+    }
+  }
+}
+
+// Guards against a budget that concurrent children exceed together.
+TEST_F(ProgramMachineTest, ChildBudgets_AreReservedAndSettled) {
+  Run(OpenOf(id_, 100));
+  ASSERT_EQ(Run(OpenOf(child_, 60, id_)), Reason::kNone);
+  EXPECT_EQ(Run(OpenOf(TestId(3), 50, id_)), Reason::kBudgetExceeded);
+  BeginCall big = BeginOf(id_, 1, 1);
+  big.reserve_tokens = 41;
+  EXPECT_EQ(Run(big), Reason::kBudgetExceeded);
+  Run(BeginOf(child_, 1, 2));
+  Run(FinishOf(child_, 1, 2));
+  Run(BeginOf(child_, 2, 3));
+  End(child_);
+  const ProgramState parent = *Read(id_);
+  EXPECT_EQ(parent.used_tokens, 14) << "4 used, 10 of the call under way";
+  EXPECT_EQ(parent.reserved_tokens, 0);
+  EXPECT_TRUE(parent.children.empty());
+}
+
+// Guards against a call that uses more than was reserved for it.
+TEST_F(ProgramMachineTest, UseAboveReserve_IsChargedUpToReserve) {
+  Run(OpenOf(id_, 100));
+  Run(BeginOf(id_, 1, 1));
+  FinishCall finish = FinishOf(id_, 1, 1);
+  finish.used_tokens = 1'000;
+  Run(finish);
+  EXPECT_EQ(Read(id_)->used_tokens, 10);
+}
+
+// Guards against engine memory that nobody releases after the end.
+TEST_F(ProgramMachineTest, End_KeepsHoldersOfWholeTreeUntilConfirmed) {
+  Run(OpenOf(id_, 100));
+  Run(OpenOf(child_, 30, id_));
+  Run(OpenOf(TestId(3), 10, child_));
+  Run(BeginOf(id_, 1, 1));
+  Run(BeginOf(TestId(3), 1, 2));
+  ASSERT_EQ(Confirm(id_, kEngine), Reason::kNotAllowed) << "not ended";
+  ASSERT_EQ(End(id_), Reason::kNone);
+  EXPECT_TRUE(Read(child_)->ended);
+  EXPECT_TRUE(Read(TestId(3))->ended);
+  EXPECT_EQ(PendingCount(), 2u);
+  EXPECT_EQ(Run(BeginOf(TestId(3), 2, 3)), Reason::kProgramEnded);
+  EXPECT_EQ(Confirm(id_, UpstreamId{kEngine.name, 8}), Reason::kNone);
+  EXPECT_EQ(PendingCount(), 2u) << "another incarnation";
+  Confirm(id_, kEngine);
+  EXPECT_EQ(PendingCount(), 1u);
+  // The tombstone stays as long as a release is not confirmed.
+  now_ms_ += 10 * limits_.tombstone_ms;
+  Expire();
+  EXPECT_FALSE(Read(id_).ok());
+  EXPECT_TRUE(Read(TestId(3)).ok());
+  Confirm(TestId(3), kEngine);
+  Expire();
+  EXPECT_FALSE(Read(TestId(3)).ok());
+  EXPECT_EQ(Confirm(TestId(3), kEngine), Reason::kNone) << "repeated";
+}
+
+// Guards against memory that a call fills after its release was confirmed.
+TEST_F(ProgramMachineTest, FinishAfterEnd_IsRefusedAndHolderIsKept) {
+  Run(OpenOf(id_, 100));
+  Run(BeginOf(id_, 1, 1));
+  End(id_);
+  Confirm(id_, kEngine);
+  EXPECT_EQ(PendingCount(), 0u);
+  EXPECT_EQ(Run(FinishOf(id_, 1, 1)), Reason::kProgramEnded);
+  EXPECT_EQ(PendingCount(), 1u);
+}
+
+// Guards against programs that stay for ever: hung tools, loops, lost callers.
+TEST_F(ProgramMachineTest, DeadlineAndIdleLimit_EndPrograms) {
+  Run(OpenOf(id_, 100));
+  Run(OpenOf(child_, 10, id_));
+  now_ms_ += 50'000;
+  Run(BeginOf(child_, 1, 1));
+  Run(FinishOf(child_, 1, 1));
+  now_ms_ += 50'000;
+  Expire();
+  EXPECT_FALSE(Read(id_)->ended) << "its child is active";
+  now_ms_ += 20'000;
+  Expire();
+  EXPECT_TRUE(Read(child_)->ended);
+  EXPECT_FALSE(Read(id_)->ended) << "idle only since its child ended";
+  EXPECT_EQ(Run(BeginOf(child_, 2, 2)), Reason::kProgramExpired);
+  Run(BeginOf(id_, 1, 3));
+  now_ms_ += 100'000;
+  Expire();
+  EXPECT_FALSE(Read(id_)->ended) << "a call is under way";
+  now_ms_ = 1'000'000;
+  EXPECT_EQ(Run(BeginOf(id_, 1, 4)), Reason::kConflict);
+  Expire();
+  EXPECT_EQ(Read(id_)->end_reason, Reason::kDeadlinePassed);
+}
+
+// Guards against a looping program.
+TEST_F(ProgramMachineTest, TurnAndHistoryLimits_RefuseFurtherCalls) {
+  limits_.max_turns = 2;
+  limits_.max_history_tokens = 100;
+  machine_ = CreateProgramMachine("salem", limits_);
+  Run(OpenOf(id_, 100));
+  for (int turn = 1; turn <= 2; ++turn) {
+    Run(BeginOf(id_, turn, turn));
+    Run(FinishOf(id_, turn, turn));
+  }
+  EXPECT_EQ(Run(BeginOf(id_, 3, 3)), Reason::kTurnLimit);
+  Run(OpenOf(child_, 100));
+  Run(BeginOf(child_, 1, 1));
+  FinishCall finish = FinishOf(child_, 1, 1);
+  finish.history_delta = {std::string(400, 'x')};
+  Run(finish);
+  EXPECT_EQ(Run(BeginOf(child_, 2, 2)), Reason::kHistoryTooLong);
+}
+
+// Guards against a damaged command that stops every replica of a group.
+TEST_F(ProgramMachineTest, DamagedCommands_AreRefused) {
+  const std::string good = codec::Encode(BeginOf(id_, 1, 1));
+  for (size_t i = 0; i < good.size(); ++i) {
+    std::string bad = good;
+    bad[i] = static_cast<char>(bad[i] ^ 0x5a);
+    RunBytes(bad);
+    machine_->Query(bad);
+    EXPECT_NE(RunBytes(good.substr(0, i)), Reason::kNone);
+  }
+}
+
+// Guards against a snapshot that is loaded in part or mixes two formats.
+TEST_F(ProgramMachineTest, DamagedSnapshot_IsRefusedAndChangesNothing) {
+  Run(OpenOf(id_, 100));
+  Run(BeginOf(id_, 1, 1));
+  const std::string good = machine_->Save();
+  for (size_t i = 0; i < good.size(); ++i) {
+    std::string bad = good;
+    bad[i] = static_cast<char>(bad[i] ^ 1);
+    ASSERT_FALSE(machine_->Load(bad).ok()) << i;
+    ASSERT_FALSE(machine_->Load(good.substr(0, i)).ok()) << i;
+  }
+  EXPECT_TRUE(machine_->Save() == good);
+  EXPECT_FALSE(CreateProgramMachine("tacoma", limits_)->Load(good).ok());
+}
+
+// Guards against an acquire that leaves out part of the state.
+TEST_F(ProgramMachineTest, Acquire_ReturnsWholeState) {
+  Run(OpenOf(id_, 100));
+  Run(BeginOf(id_, 1, 1));
+  Run(FinishOf(id_, 1, 1));
+  Acquire(id_, "entry-2");
+  const ProgramState state = *codec::DecodeState(last_);
+  EXPECT_EQ(state.history, FinishOf(id_, 1, 1).history_delta);
+  EXPECT_EQ(state.calls[0].answer, "body 1");
+  EXPECT_EQ(state.owner, "entry-2");
+  EXPECT_EQ(state, *Read(id_));
+}
+
+}  // namespace
+}  // namespace ring
--- /dev/null
+++ b/tests/program_property_test.cc
@@ -0,0 +1,205 @@
+#include <map>
+#include <set>
+
+#include <rapidcheck.h>
+
+#include "tests/program_fixture.h"
+
+namespace ring {
+namespace {
+
+constexpr int kPrograms = 4;
+constexpr int64_t kRootBudget = 60;
+
+/// Random commands with repetitions, old copies and wrong epochs. Program 1 is
+/// the root; each other one asks for a budget from its predecessor.
+class CommandSource {
+ public:
+  std::string Next(const StateMachineI& machine) {
+    if (!sent_.empty() && *rc::gen::inRange(0, 4) == 0) {
+      return sent_[*rc::gen::inRange<size_t>(0, sent_.size())];
+    }
+    sent_.push_back(Fresh(machine));
+    return sent_.back();
+  }
+
+ private:
+  std::string Fresh(const StateMachineI& machine) {
+    const int number = *rc::gen::inRange(1, kPrograms + 1);
+    const ProgramId id = TestId(number);
+    const auto state = codec::DecodeState(machine.Query(codec::EncodeRead(id)));
+    if (!state || *rc::gen::inRange(0, 25) == 0) {
+      return codec::Encode(
+          OpenOf(id, kRootBudget / number,
+                 number == 1 ? ProgramId() : TestId(number - 1)));
+    }
+    const uint64_t epoch = state->epoch - (*rc::gen::inRange(0, 10) == 0);
+    const CallRecord* last =
+        state->calls.empty() ? nullptr : &state->calls.back();
+    const bool under_way = last != nullptr && last->state == CallState::kBegun;
+    switch (*rc::gen::inRange(0, 12)) {
+      case 0:
+        return codec::EncodeAcquire(id, "entry-2");
+      case 1:
+        return codec::EncodeEnd(id, Reason::kNone);
+      case 2:
+        return codec::EncodeConfirmRelease(id, kEngine);
+      case 3:
+        return under_way ? codec::Encode(AbortCall{id, epoch, last->sequence,
+                                                   last->attempt})
+                         : codec::EncodeExpire();
+      case 4:
+      case 5:
+        return under_way ? Retry(id, epoch, *last) : codec::EncodeExpire();
+      case 6:
+      case 7:
+      case 8:
+        return under_way ? Finish(id, epoch, *last) : codec::EncodeExpire();
+      default:
+        return Begin(id, epoch, *state);
+    }
+  }
+
+  std::string Begin(const ProgramId& id,
+                    uint64_t epoch,
+                    const ProgramState& state) {
+    const uint64_t low = state.next_sequence > 2 ? state.next_sequence - 2 : 1;
+    BeginCall begin =
+        BeginOf(id, *rc::gen::inRange(low, state.next_sequence + 2),
+                ++attempts_, epoch);
+    begin.idempotent = begin.sequence % 2 == 0;
+    begin.reserve_tokens = *rc::gen::inRange(0, 15);
+    return codec::Encode(begin);
+  }
+  std::string Retry(const ProgramId& id,
+                    uint64_t epoch,
+                    const CallRecord& last) {
+    return codec::Encode(RetryCall{id, epoch, last.sequence,
+                                   Attempt(++attempts_), last.attempt, false,
+                                   kOtherEngine, true});
+  }
+  std::string Finish(const ProgramId& id,
+                     uint64_t epoch,
+                     const CallRecord& last) {
+    FinishCall finish = FinishOf(id, last.sequence, 0, epoch);
+    finish.attempt = last.attempt;
+    finish.used_tokens = *rc::gen::inRange(-5, 30);
+    return codec::Encode(finish);
+  }
+
+  std::vector<std::string> sent_;
+  int attempts_ = 0;
+};
+
+/// Checks what must hold after every command.
+class Invariants {
+ public:
+  void Check(const StateMachineI& machine) {
+    for (int number = 1; number <= kPrograms; ++number) {
+      const ProgramId id = TestId(number);
+      const auto state =
+          codec::DecodeState(machine.Query(codec::EncodeRead(id)));
+      if (!state) {
+        continue;
+      }
+      RC_ASSERT(state->used_tokens >= 0);
+      RC_ASSERT(state->reserved_tokens >= 0);
+      RC_ASSERT(state->available_tokens() >= 0);
+      CheckReserve(machine, *state);
+      CheckHistory(*state);
+      CheckRuns(*state);
+    }
+  }
+
+ private:
+  void CheckReserve(const StateMachineI& machine, const ProgramState& state) {
+    int64_t expected = 0;
+    for (const CallRecord& call : state.calls) {
+      expected += call.state == CallState::kBegun && !state.ended
+                      ? call.reserved_tokens
+                      : 0;
+    }
+    for (const ProgramId& child : state.children) {
+      expected += codec::DecodeState(machine.Query(codec::EncodeRead(child)))
+                      ->budget_tokens;
+    }
+    RC_ASSERT(state.reserved_tokens == expected);
+  }
+
+  /// History only grows, in the order of the sequence numbers.
+  void CheckHistory(const ProgramState& state) {
+    if (state.ended) {
+      return;
+    }
+    std::vector<std::string>& seen = history_[state.id];
+    RC_ASSERT(state.history.size() >= seen.size());
+    RC_ASSERT(std::equal(seen.begin(), seen.end(), state.history.begin()));
+    uint64_t before = 0;
+    for (size_t i = 0; i < state.history.size(); i += 2) {
+      const uint64_t sequence = std::stoull(state.history[i].substr(9));
+      RC_ASSERT(sequence > before);
+      before = sequence;
+    }
+    seen = state.history;
+  }
+
+  /// A non-idempotent call has one attempt in each epoch, and no further one
+  /// after a takeover. An abort frees its number, so it counts as a new call.
+  void CheckRuns(const ProgramState& state) {
+    for (const CallRecord& call : state.calls) {
+      if (call.idempotent) {
+        continue;
+      }
+      auto& first = attempts_[{state.id, call.sequence}];
+      if (first.empty() || last_next_[state.id] <= call.sequence) {
+        first = call.attempt;
+      }
+      RC_ASSERT(first == call.attempt);
+    }
+    last_next_[state.id] = state.next_sequence;
+  }
+
+  std::map<ProgramId, std::vector<std::string>> history_;
+  std::map<std::pair<ProgramId, uint64_t>, std::string> attempts_;
+  std::map<ProgramId, uint64_t> last_next_;
+};
+
+// Guards against an order of commands, repeated or late, that exceeds a
+// budget, mixes up a history or runs a non-idempotent call twice.
+TEST(ProgramMachineProperty, RandomCommands_KeepInvariants) {
+  EXPECT_TRUE(rc::check([] {
+    const auto machine = CreateProgramMachine("salem", ProgramLimits());
+    CommandSource source;
+    Invariants invariants;
+    int64_t now_ms = 1'000;
+    for (uint64_t index = 1; index <= 60; ++index) {
+      now_ms += *rc::gen::inRange(0, 2'000);
+      machine->Apply(index, now_ms, source.Next(*machine));
+      invariants.Check(*machine);
+    }
+  }));
+}
+
+// Guards against replicas that differ after one was restored from a snapshot.
+TEST(ProgramMachineProperty, SaveAndLoad_GiveEqualState) {
+  EXPECT_TRUE(rc::check([] {
+    const auto machine = CreateProgramMachine("salem", ProgramLimits());
+    const auto restored = CreateProgramMachine("salem", ProgramLimits());
+    CommandSource source;
+    for (uint64_t index = 1; index <= 60; ++index) {
+      const std::string command = source.Next(*machine);
+      const int64_t now_ms = 1'000 + static_cast<int64_t>(index) * 1'500;
+      const std::string result = machine->Apply(index, now_ms, command);
+      if (index > 30) {
+        RC_ASSERT(restored->Apply(index, now_ms, command) == result);
+      }
+      if (index == 30) {
+        RC_ASSERT(restored->Load(machine->Save()).ok());
+      }
+    }
+    RC_ASSERT(restored->Save() == machine->Save());
+  }));
+}
+
+}  // namespace
+}  // namespace ring
