--- a/tests/control_machine_test.cc
+++ b/tests/control_machine_test.cc
@@ -31,7 +31,7 @@
 // Guards against a note that is accepted although part of it has no effect, and
 // against an error that does not name the mistake.
 TEST(CheckNote, Mistakes_AreRefusedWithTheirPath) {
-  const BadNote kCases[] = {
+  const BadNote cases[] = {
       {"{", "body"},
       {"[]", "body"},
       {"{}", "body"},
@@ -50,7 +50,7 @@
            "withdrawn": [{"kind": "team", "name": "a"}]})",
        "withdrawn[0]"},
   };
-  for (const BadNote& bad : kCases) {
+  for (const BadNote& bad : cases) {
     const Status status = CheckNote({1, "operator", bad.body});
     EXPECT_EQ(status.refusal().reason, Reason::kBadRequest) << bad.body;
     EXPECT_EQ(status.refusal().message.rfind(std::string(bad.path) + ":", 0),
--- a/tests/control_plan_test.cc
+++ b/tests/control_plan_test.cc
@@ -16,6 +16,7 @@
 
 std::vector<std::string> Names(const std::vector<PlannedOrder>& orders) {
   std::vector<std::string> names;
+  names.reserve(orders.size());
   for (const PlannedOrder& order : orders) {
     names.push_back(order.upstream + " " + order.action + " " + order.model +
                     order.adapter + order.version + order.role);
@@ -33,7 +34,7 @@
 // Guards against orders that are missing, superfluous or in an order that the
 // engine cannot carry out.
 TEST(PlanOrders, DifferenceOfOneEngine_GivesItsOrders) {
-  const PlanCase kCases[] = {
+  const PlanCase cases[] = {
       {"empty engine: the adapter waits for its model",
        kItems,
        {"u1", R"({"models":[],"adapters":[],"role":"decode"})"},
@@ -67,7 +68,7 @@
       {"report that cannot be read", kItems, {"u1", "not json"}, {}},
       {"report of another form", kItems, {"u1", R"({"models":[7]})"}, {}},
   };
-  for (const PlanCase& c : kCases) {
+  for (const PlanCase& c : cases) {
     EXPECT_EQ(Names(PlanOrders(c.items, {c.report}, 9, 10)), c.orders)
         << c.what;
   }
@@ -76,15 +77,13 @@
 // Guards against a rollout that overloads the rate-limited weight store, and
 // against plans that depend on the order of reports.
 TEST(PlanOrders, LoadTokens_LimitLoadsAcrossEngines) {
-  const UpstreamReport kEmpty[] = {{"u1", "{}"}, {"u2", "{}"}, {"u3", "{}"}};
-  const auto orders =
-      PlanOrders(kItems, {kEmpty[2], kEmpty[0], kEmpty[1]}, 9, 2);
+  const UpstreamReport empty[] = {{"u1", "{}"}, {"u2", "{}"}, {"u3", "{}"}};
+  const auto orders = PlanOrders(kItems, {empty[2], empty[0], empty[1]}, 9, 2);
   EXPECT_EQ(Names(orders),
             (std::vector<std::string>{"u1 load_model m2", "u1 set_role decode",
                                       "u2 load_model m2", "u2 set_role decode",
                                       "u3 set_role decode"}));
-  EXPECT_EQ(orders,
-            PlanOrders(kItems, {kEmpty[0], kEmpty[1], kEmpty[2]}, 9, 2));
+  EXPECT_EQ(orders, PlanOrders(kItems, {empty[0], empty[1], empty[2]}, 9, 2));
   EXPECT_EQ(orders[0].fence, 9u);
 }
 
