Test the entry with fault tables against fakes

Cause: order, at-most-once, whole answers, run states, drain and takeover had no tests. Queued calls whose callers are gone are dropped.

--- a/fakes/entry_fixture.h
+++ b/fakes/entry_fixture.h
@@ -64,6 +64,7 @@
     init.http = {"127.0.0.1", 0};
     init.admin = {"127.0.0.1", 0};
     init.call_limits.quorum_retry_ms = 50;
+    init.call_limits.caller_gone_ms = 100;
     init.drain_notice_ms = 100;
     init.janitor_period_ms = 20;
     init.seed = 7;
@@ -95,6 +96,7 @@
   TestEntry& operator=(const TestEntry&) = delete;
 
   Entry& entry() { return *entry_; }
+  uint16_t entry_port() const { return entry_->http_port(); }
 
   std::unique_ptr<httplib::Client> Client() const {
     return NewClient(entry_->http_port());
@@ -114,8 +116,8 @@
 
   std::unique_ptr<PolicyI> policy_;
   std::unique_ptr<RetryPolicyI> retries_;
-  Supervisor supervisor_;
   std::unique_ptr<Entry> entry_;
+  Supervisor supervisor_;  // Stopped before the entry goes.
 };
 
 /// Caller of an entry.
--- a/src/entry_scheduler.cc
+++ b/src/entry_scheduler.cc
@@ -140,7 +140,10 @@
                       return record.state == MemberState::kUp &&
                              Serves(record, call->request);
                     });
-    if (call->cancel.cancelled()) {
+    const int64_t gone_ms = call->no_reader_since_ms.load();
+    const bool gone = gone_ms > 0 && call->answer.readers() <= 0 &&
+                      now_ms - gone_ms > init_.call_limits.caller_gone_ms;
+    if (call->cancel.cancelled() || (gone && !call->begun)) {
       Reject(call, Refuse(Reason::kCallerGone, "the caller went away"));
     } else if (now_ms >= std::min(call->call_deadline_ms, call->deadline_ms)) {
       Reject(call, Refuse(Reason::kDeadlinePassed,
--- /dev/null
+++ b/tests/entry_crash_test.cc
@@ -0,0 +1,124 @@
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "fakes/entry_fixture.h"
+
+namespace ring {
+namespace {
+
+using Kind = EngineFault::Kind;
+
+class EntryCrash : public ::testing::Test {
+ protected:
+  EntryCrash() {
+    ring_.SetEngine("engine-2", 1, {"m"});
+    ring_.SetEngine("engine-3", 1, {"m"});
+  }
+
+  FakeRing ring_;
+  TestEntry entry_{ring_, TestEntry::DefaultInit("entry-1")};
+  Caller caller_{entry_};
+};
+
+// Guards against one request that takes down engine after engine, and against
+// innocent requests that are lost with it.
+TEST_F(EntryCrash, PoisonAmongOthers_IsQuarantinedAndOthersFinish) {
+  std::mutex mutex;
+  std::map<std::string, int64_t> down;  // By engine, number of its crashes.
+  std::atomic<int> poison_attempts{0};
+  ring_.upstreams.token_delay_ms = 5;
+  ring_.upstreams.OnAttempt([&](const auto& upstream, const auto& request) {
+    std::lock_guard lock(mutex);
+    if (request.messages.find("poison") != std::string::npos) {
+      ++poison_attempts;
+      down[upstream.id.name] = 1;
+      return EngineFault{Kind::kReset, 0};
+    }
+    // Everything else on a crashed engine is reset with it, once.
+    if (down[upstream.id.name]-- > 0) {
+      return EngineFault{Kind::kReset, 0};
+    }
+    return EngineFault{};
+  });
+  std::vector<std::thread> threads;
+  std::atomic<int> finished{0};
+  for (int i = 0; i < 8; ++i) {
+    threads.emplace_back([&, i] {
+      Caller caller(entry_);
+      const auto answer =
+          caller.Ask(caller.Open(), 1, "innocent " + std::to_string(i));
+      finished += answer.status == 200 ? 1 : 0;
+    });
+  }
+  const auto poisoned = caller_.Ask(caller_.Open(), 1, "poison");
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(poisoned.reason(), "quarantined") << poisoned.body;
+  EXPECT_EQ(poisoned.run_state(), "unknown");
+  EXPECT_EQ(finished.load(), 8);
+  EXPECT_EQ(poison_attempts.load(), 2);
+
+  const auto again = caller_.Ask(caller_.Open(), 1, "poison");
+  EXPECT_EQ(again.reason(), "quarantined");
+  EXPECT_EQ(again.run_state(), "not_run");
+  EXPECT_EQ(poison_attempts.load(), 2);
+  const auto view = ring_.control->Poll("other", 0, 0);
+  ASSERT_TRUE(view.ok());
+  EXPECT_EQ(view->quarantined.size(), 1u);
+
+  TestEntry second(ring_, TestEntry::DefaultInit("entry-2"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Caller other(second);
+  EXPECT_EQ(other.Ask(other.Open(), 1, "poison").reason(), "quarantined");
+  EXPECT_EQ(poison_attempts.load(), 2);
+}
+
+// Guards against a suspect that shares its engine and makes others suspects.
+TEST_F(EntryCrash, Suspect_RunsAlone) {
+  ring_.upstreams.token_delay_ms = 3;
+  std::mutex mutex;
+  std::map<std::string, int> running;
+  std::atomic<bool> crashed{false};
+  std::atomic<bool> shared{false};
+  std::atomic<bool> suspect_ran{false};
+  ring_.upstreams.OnAttempt([&](const auto& upstream, const auto& request) {
+    const bool suspect = request.messages.find("suspect") != std::string::npos;
+    if (suspect && !crashed.exchange(true)) {
+      return EngineFault{Kind::kReset, 0};
+    }
+    if (suspect) {
+      suspect_ran.store(true);
+      const auto json = nlohmann::json::parse(entry_.entry().StatusJson());
+      for (const auto& item : json["upstreams"]) {
+        if (item["name"] == upstream.id.name && item["in_flight"] != 1) {
+          shared.store(true);
+        }
+      }
+    }
+    return EngineFault{};
+  });
+  std::atomic<bool> stop{false};
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 6; ++i) {
+    threads.emplace_back([&] {
+      Caller caller(entry_);
+      const std::string program = caller.Open();
+      for (uint64_t sequence = 1; !stop.load(); ++sequence) {
+        EXPECT_EQ(caller.Ask(program, sequence, "busy").status, 200);
+      }
+    });
+  }
+  const auto answer = caller_.Ask(caller_.Open(), 1, "suspect");
+  stop.store(true);
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(answer.status, 200) << answer.body;
+  EXPECT_TRUE(suspect_ran.load());
+  EXPECT_FALSE(shared.load());
+}
+
+}  // namespace
+}  // namespace ring
--- /dev/null
+++ b/tests/entry_drain_test.cc
@@ -0,0 +1,136 @@
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "fakes/entry_fixture.h"
+
+namespace ring {
+namespace {
+
+class EntryDrain : public ::testing::Test {
+ protected:
+  bool WaitFor(const std::function<bool()>& condition) const {
+    for (int i = 0; i < 300 && !condition(); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return condition();
+  }
+
+  FakeRing ring_;
+  TestEntry entry_{ring_, TestEntry::DefaultInit("entry-1")};
+  Caller caller_{entry_};
+};
+
+// Guards against a graceful shutdown that cuts calls under way or queued.
+TEST_F(EntryDrain, CallsUnderWayAndQueued_FinishBeforeDrained) {
+  ring_.upstreams.token_delay_ms = 100;  // 600 ms for each call, 4 at once.
+  std::atomic<int> whole{0};
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 8; ++i) {
+    threads.emplace_back([&, program = caller_.Open()] {
+      Caller caller(entry_);
+      const auto answer = caller.Ask(program, 1, "hello", true);
+      whole += answer.complete() ? 1 : 0;
+    });
+  }
+  ASSERT_TRUE(WaitFor([&] {
+    const auto status = nlohmann::json::parse(entry_.entry().StatusJson());
+    return status["queue"] == 4 && status["in_flight"] == 4;
+  }));
+  const auto admin = entry_.AdminClient();
+  EXPECT_EQ(admin->Get("/readyz")->status, 200);
+  EXPECT_EQ(admin->Post("/admin/drain")->status, 200);
+  EXPECT_EQ(admin->Get("/readyz")->status, 503);
+  const auto refused =
+      caller_.Post("/v1/programs", "{\"team\":\"t\",\"budget_tokens\":5}");
+  EXPECT_EQ(refused.reason(), "draining");
+  EXPECT_EQ(refused.run_state(), "not_run");
+  EXPECT_FALSE(entry_.entry().drained());
+  EXPECT_TRUE(WaitFor([&] { return entry_.entry().drained(); }));
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(whole.load(), 8);
+}
+
+// Guards against engine memory that stays held after a lost release order.
+TEST_F(EntryDrain, ReleaseLostTwice_IsRepeatedUntilAcknowledged) {
+  const std::string program = caller_.Open();
+  EXPECT_EQ(caller_.Ask(program, 1, "hello").status, 200);
+  EXPECT_EQ(ring_.upstreams.held_caches(), 1u);
+  ring_.upstreams.lost_releases = 2;
+  caller_.Delete("/v1/programs/" + program);
+  EXPECT_TRUE(WaitFor([&] { return ring_.upstreams.held_caches() == 0; }));
+  EXPECT_TRUE(WaitFor([&] {
+    return ring_.store.inner().PendingReleases("salem", 10)->empty();
+  }));
+}
+
+// Guards against tombstones that wait for ever for an engine that restarted.
+TEST_F(EntryDrain, HolderRestarted_ReleaseIsConfirmed) {
+  const std::string program = caller_.Open();
+  EXPECT_EQ(caller_.Ask(program, 1, "hello").status, 200);
+  ring_.SetEngine("engine-1", 2, {"m"});
+  caller_.Delete("/v1/programs/" + program);
+  EXPECT_TRUE(WaitFor([&] {
+    return ring_.store.inner().PendingReleases("salem", 10)->empty();
+  }));
+  EXPECT_EQ(ring_.upstreams.held_caches(), 1u);  // No order to the new life.
+}
+
+// Guards against a note that is not in force within seconds, and against
+// orders that are repeated although they were carried out.
+TEST_F(EntryDrain, ReleaseNote_MakesServiceIdempotentAndOrdersModels) {
+  const std::string single = "/v1/services/stock/check";
+  EXPECT_EQ(caller_.Post(single, "{}").reason(), "not_allowed");
+  ring_.ApplyNote(1,
+                  "{\"added\":[{\"kind\":\"service\",\"name\":\"stock\","
+                  "\"idempotent\":true},{\"kind\":\"model\",\"name\":\"m\","
+                  "\"version\":\"2\"}]}");
+  EXPECT_TRUE(
+      WaitFor([&] { return caller_.Post(single, "{}").status == 200; }));
+  EXPECT_TRUE(WaitFor([&] { return !ring_.upstreams.orders().empty(); }));
+  const UpstreamOrder order = ring_.upstreams.orders().front();
+  EXPECT_EQ(order.action, "load_model");
+  EXPECT_GT(order.fence, 0u);
+}
+
+// Guards against a queue full of calls whose callers have gone.
+TEST_F(EntryDrain, CallerGoneBeforeStart_CallIsDroppedAndNumberStaysFree) {
+  ring_.SetEngine("engine-1", 1, {});
+  ring_.directory.Set([] {
+    UpstreamRecord busy;
+    busy.id = {"busy", 1};
+    busy.models = {"m"};
+    busy.domain = "salem";
+    busy.max_in_flight = 1;
+    return busy;
+  }());
+  ring_.upstreams.token_delay_ms = 500;  // 3 s for one call.
+  const std::string first = caller_.Open();
+  const std::string second = caller_.Open();
+  std::thread holder([&] {
+    Caller caller(entry_);
+    EXPECT_EQ(caller.Ask(first, 1, "long").status, 200);
+  });
+  ASSERT_TRUE(WaitFor([&] { return ring_.upstreams.attempts().size() == 1; }));
+  auto client = entry_.Client();
+  client->set_read_timeout(0, 100'000);
+  const nlohmann::json body = {
+      {"model", "m"}, {"messages", {{{"role", "user"}, {"content", "x"}}}}};
+  EXPECT_FALSE(client->Post("/v1/chat/completions",
+                            {{"Authorization", "Bearer " + second}},
+                            body.dump(), "application/json"));
+  client.reset();
+  const auto queued = [&] {
+    return nlohmann::json::parse(entry_.entry().StatusJson())["queue"];
+  };
+  EXPECT_TRUE(WaitFor([&] { return queued() == 0; }));
+  EXPECT_EQ(ring_.upstreams.attempts().size(), 1u);
+  holder.join();
+  ring_.upstreams.token_delay_ms = 0;
+  EXPECT_EQ(caller_.Ask(second, 1, "other").status, 200);
+}
+
+}  // namespace
+}  // namespace ring
