--- /dev/null
+++ b/fakes/ringload/cache_watch.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "persimmonring/core.h"
+
+namespace ring::load {
+
+/// Reads the counters of the stand-ins, and samples the cache that they hold
+/// for programs that have ended.
+class CacheWatch {
+ public:
+  CacheWatch(std::vector<Endpoint> engines, std::vector<Endpoint> services);
+  ~CacheWatch();
+
+  void OnEnded(const std::string& program);
+  /// Ends sampling and reads all counters. Computed tokens count from the start
+  /// of the stand-ins, which should be fresh.
+  /// @returns an object for the result file; null without addresses
+  nlohmann::json Finish();
+
+ private:
+  void Run();
+  void Sample(double elapsed_ms);
+  nlohmann::json Engines() const;
+  void AddServices(nlohmann::json& result) const;
+
+  const std::vector<Endpoint> engines_;
+  const std::vector<Endpoint> services_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool stop_ = false;
+  std::set<std::string> ended_;
+  double held_token_ms_ = 0;
+  int64_t held_tokens_ = 0;  ///< In the last sample.
+  std::thread thread_;
+};
+
+}  // namespace ring::load
