--- a/fakes/fake_net.h
+++ b/fakes/fake_net.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -28,6 +29,7 @@
 
   /// @returns the hub of a new node, which lives as long as the net
   HubI& Add(const PeerInfo& info) {
+    by_name_[info.node] = nodes_.size();
     nodes_.push_back(std::make_unique<Node>(*this, nodes_.size(), info));
     return *nodes_.back();
   }
@@ -35,7 +37,6 @@
     nodes_[node]->receiver = std::move(receiver);
   }
   static Endpoint EndpointOf(size_t node) {
-    constexpr uint16_t kFirstPort = 1'000;
     return {.ip = "127.0.0.1",
             .port = static_cast<uint16_t>(kFirstPort + node)};
   }
@@ -61,6 +62,11 @@
   uint64_t sent_frames = 0;
 
  private:
+  static constexpr uint16_t kFirstPort = 1'000;
+  static size_t IndexOf(const Endpoint& endpoint) {
+    return static_cast<size_t>(endpoint.port - kFirstPort);
+  }
+
   struct Message {
     size_t from;
     size_t to;
@@ -72,18 +78,10 @@
         : net(owner), index(number), info(std::move(peer)) {}
 
     void Connect(const Endpoint& endpoint) override {
-      for (size_t i = 0; i < net.nodes_.size(); ++i) {
-        if (EndpointOf(i) == endpoint) {
-          net.links_.insert({index, i});
-        }
-      }
+      net.links_.insert({index, IndexOf(endpoint)});
     }
     void Disconnect(const Endpoint& endpoint) override {
-      for (size_t i = 0; i < net.nodes_.size(); ++i) {
-        if (EndpointOf(i) == endpoint) {
-          net.links_.erase({index, i});
-        }
-      }
+      net.links_.erase({index, IndexOf(endpoint)});
     }
     Status Send(SessionHandle session, const Frame& frame) override {
       const size_t to = session.value - 1;
@@ -99,20 +97,14 @@
       return Done{};
     }
     SessionHandle FindByEndpoint(const Endpoint& endpoint) const override {
-      for (size_t i = 0; i < net.nodes_.size(); ++i) {
-        if (EndpointOf(i) == endpoint && net.HasSession(index, i)) {
-          return {i + 1};
-        }
-      }
-      return {};
+      const size_t i = IndexOf(endpoint);
+      return net.HasSession(index, i) ? SessionHandle{i + 1} : SessionHandle{};
     }
     SessionHandle FindByNode(const std::string& name) const override {
-      for (size_t i = 0; i < net.nodes_.size(); ++i) {
-        if (net.nodes_[i]->info.node == name && net.HasSession(index, i)) {
-          return {i + 1};
-        }
-      }
-      return {};
+      const auto it = net.by_name_.find(name);
+      return it != net.by_name_.end() && net.HasSession(index, it->second)
+                 ? SessionHandle{it->second + 1}
+                 : SessionHandle{};
     }
 
     FakeNet& net;
@@ -122,12 +114,13 @@
   };
 
   bool HasSession(size_t a, size_t b) const {
-    return a != b && IsUp(a, b) &&
+    return a != b && b < nodes_.size() && IsUp(a, b) &&
            (links_.contains({a, b}) || links_.contains({b, a}));
   }
 
   FakeClock& clock_;
   std::vector<std::unique_ptr<Node>> nodes_;
+  std::unordered_map<std::string, size_t> by_name_;
   std::set<std::pair<size_t, size_t>> links_;
   std::multimap<int64_t, Message> queue_;
 };
