Recognize crashes that look like cut streams; open forward sessions on demand

Cause: a process that dies closes its connections in order if it had read all input, so a crash could pass for a cut stream; a session to each other entry would cost more pings than control may cost a node.

--- a/fakes/fake_upstreams.h
+++ b/fakes/fake_upstreams.h
@@ -56,6 +56,7 @@
     kTruncate,   ///< Stream ends without end marker after `after_tokens`.
     kHang,       ///< No token until the attempt is cancelled or `delay_ms`.
     kOtherText,  ///< Answers with another text.
+    kCrash,      ///< Resets all attempts under way on the upstream.
   };
   Kind kind = Kind::kNone;
   int64_t after_tokens = 0;
@@ -110,8 +111,13 @@
       if (choose_) {
         fault = choose_(upstream, request);
       }
+      if (fault.kind == EngineFault::Kind::kCrash) {
+        lives_[upstream.id.name].Cancel();
+        lives_.erase(upstream.id.name);
+      }
     }
-    auto result = Produce(request, fault, sink, cancel);
+    auto result =
+        Produce(request, fault, sink, cancel, LifeOf(upstream.id.name, fault));
     std::lock_guard lock(mutex_);
     running_[upstream.id.name] -= 1;
     return result;
@@ -203,17 +209,30 @@
     return {reason, run_state, "scripted fault"};
   }
 
+  // Cancelled when the upstream crashes.
+  CancelToken LifeOf(const std::string& name, const EngineFault& fault) {
+    if (fault.kind == EngineFault::Kind::kCrash) {
+      CancelToken ended;
+      ended.Cancel();
+      return ended;
+    }
+    std::lock_guard lock(mutex_);
+    return lives_[name];
+  }
+
   Outcome<EngineResult> Produce(const EngineRequest& request,
                                 const EngineFault& fault,
                                 const TextSink& sink,
-                                const CancelToken& cancel) const {
+                                const CancelToken& cancel,
+                                const CancelToken& life) const {
     using Kind = EngineFault::Kind;
     if (fault.kind == Kind::kRefuse) {
       return Fail(Reason::kUpstreamRefused, RunState::kNotRun);
     }
     const auto end = std::chrono::steady_clock::now() +
                      std::chrono::milliseconds(fault.delay_ms);
-    while (std::chrono::steady_clock::now() < end && !cancel.cancelled()) {
+    while (std::chrono::steady_clock::now() < end && !cancel.cancelled() &&
+           !life.cancelled()) {
       std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
     if (fault.kind == Kind::kHang) {
@@ -230,6 +249,9 @@
                                                : Reason::kUpstreamTruncated,
                     RunState::kUnknown);
       }
+      if (life.cancelled()) {
+        return Fail(Reason::kUpstreamReset, RunState::kUnknown);
+      }
       if (cancel.cancelled()) {
         return Fail(Reason::kCancelled, RunState::kUnknown);
       }
@@ -251,6 +273,7 @@
   std::vector<UpstreamOrder> orders_;
   std::set<std::pair<std::string, std::string>> holders_;
   std::set<std::string> cancelled_;
+  std::map<std::string, CancelToken> lives_;
   std::map<std::string, int> running_;
   std::map<std::string, int> most_running_;
 };
--- a/src/entry_attempts_model.cc
+++ b/src/entry_attempts_model.cc
@@ -31,6 +31,14 @@
                 0, RunState::kUnknown);
 }
 
+// A process that dies closes its connections in order if it had read all
+// input, so that a crash can look like a cut stream.
+Refusal EngineGone() {
+  return Refuse(Reason::kUpstreamReset,
+                "the engine ended the stream and cannot be reached", 0,
+                RunState::kUnknown);
+}
+
 }  // namespace
 
 Outcome<EngineResult> AttemptRunner::SendModel(const AttemptTask& task,
@@ -119,14 +127,14 @@
       break;
     }
     metrics::Count("ring_resumes_total");
-    const Refusal first = result.refusal();
     result = SendModel(task, text, text.PrepareResume());
     if (result.refusal().reason == Reason::kUpstreamRefused) {
-      // The connection is refused, yet the first part of the call did run.
-      result = first;
-      break;
+      return EngineGone();
     }
   }
+  if (result.refusal().reason == Reason::kUpstreamTruncated && text.empty()) {
+    return EngineGone();
+  }
   if (!result) {
     return result;
   }
--- a/src/entry_entry.cc
+++ b/src/entry_entry.cc
@@ -28,7 +28,7 @@
                  tasks),
         calls(init, parts, sessions, config, statistics, scheduler, attempts),
         forwarder(init, parts, calls),
-        janitor(init, parts, config, sessions, forwarder),
+        janitor(init, parts, config, sessions),
         front(init, parts, calls, forwarder, [this] { janitor.Kick(); }),
         http(init.http_limits),
         admin(AdminLimits(init.http_limits)) {
--- a/src/entry_failure.cc
+++ b/src/entry_failure.cc
@@ -69,6 +69,9 @@
     GiveUp(call, std::move(failure));
     return;
   }
+  if (verdict == RetryVerdict::kRetryAlone) {
+    call->suspect.store(true);
+  }
   metrics::CountRetry(failure.reason);
   Event(LogLevel::kInfo, "call_retried")
       .Add("program", call->request.program.log_prefix())
--- a/src/entry_forward.cc
+++ b/src/entry_forward.cc
@@ -1,7 +1,8 @@
 // Forwarding, side of the entry that the caller reached.
 
-#include "entry_forward_p.h"
+#include <thread>
 
+#include "entry_forward_p.h"
 #include "forward.generated.h"
 
 namespace ring::entry {
@@ -78,15 +79,29 @@
   hub_ = &hub;
 }
 
-void Forwarder::ConnectEntries() {
+// Sessions are opened when they are needed: one to each other entry would cost
+// more pings than control may cost a node.
+SessionHandle Forwarder::SessionTo(const std::string& owner) const {
+  constexpr int64_t kConnectWaitMs = 500;
+  constexpr int64_t kSliceMs = 5;
   if (hub_ == nullptr) {
-    return;
+    return {};
   }
-  for (const EntryRecord& entry : parts_.directory->View()->entries) {
-    if (entry.name != init_.node && entry.state != MemberState::kDown) {
-      hub_->Connect(entry.wire);
+  SessionHandle session = hub_->FindByNode(owner);
+  const auto directory = parts_.directory->View();
+  for (const EntryRecord& entry : directory->entries) {
+    if (isValid(session) || entry.name != owner ||
+        entry.state == MemberState::kDown) {
+      continue;
+    }
+    hub_->Connect(entry.wire);
+    const int64_t end_ms = parts_.clock->NowMs() + kConnectWaitMs;
+    while (!isValid(session) && parts_.clock->NowMs() < end_ms) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(kSliceMs));
+      session = hub_->FindByNode(owner);
     }
   }
+  return session;
 }
 
 Outcome<std::shared_ptr<AnswerStream>> Forwarder::Run(
@@ -118,8 +133,7 @@
 std::shared_ptr<AnswerStream> Forwarder::SendCall(const RawCall& raw,
                                                   const CallRequest& request,
                                                   const std::string& owner) {
-  const SessionHandle session =
-      hub_ == nullptr ? SessionHandle{} : hub_->FindByNode(owner);
+  const SessionHandle session = SessionTo(owner);
   if (!isValid(session)) {
     return nullptr;
   }
--- a/src/entry_forward_p.h
+++ b/src/entry_forward_p.h
@@ -14,8 +14,6 @@
   Forwarder(const EntryInit& init, const EntryParts& parts, CallService& calls);
 
   void Attach(HubI& hub);
-  /// Keeps sessions to the entries of the directory open.
-  void ConnectEntries();
 
   /// Runs a call here or at the owner of its program.
   /// @returns the answer to read
@@ -63,6 +61,8 @@
   };
   using Key = std::pair<SessionHandle, uint64_t>;
 
+  /// @returns an open session to an entry, invalid if none opens soon
+  SessionHandle SessionTo(const std::string& owner) const;
   std::shared_ptr<AnswerStream> SendCall(const RawCall& raw,
                                          const CallRequest& request,
                                          const std::string& owner);
--- a/src/entry_janitor.cc
+++ b/src/entry_janitor.cc
@@ -7,13 +7,11 @@
 Janitor::Janitor(const EntryInit& init,
                  const EntryParts& parts,
                  RingConfig& config,
-                 SessionTable& sessions,
-                 Forwarder& forwarder)
+                 SessionTable& sessions)
     : init_(init),
       parts_(parts),
       config_(config),
       sessions_(sessions),
-      forwarder_(forwarder),
       wake_(1) {}
 
 void Janitor::Kick() {
@@ -35,7 +33,6 @@
 }
 
 void Janitor::Step() {
-  forwarder_.ConnectEntries();
   PollControl();
   ReleaseCaches();
   Reconcile();
--- a/src/entry_janitor_p.h
+++ b/src/entry_janitor_p.h
@@ -4,19 +4,17 @@
 #include <map>
 
 #include "entry_calls_p.h"
-#include "entry_forward_p.h"
 
 namespace ring::entry {
 
-/// Periodic duties: cache releases of ended programs, control poll, sessions
-/// to other entries, reconciler. Runs on its own thread.
+/// Periodic duties: cache releases of ended programs, control poll,
+/// reconciler. Runs on its own thread.
 class Janitor {
  public:
   Janitor(const EntryInit& init,
           const EntryParts& parts,
           RingConfig& config,
-          SessionTable& sessions,
-          Forwarder& forwarder);
+          SessionTable& sessions);
 
   /// Runs a pass soon.
   void Kick();
@@ -40,7 +38,6 @@
   const EntryParts& parts_;
   RingConfig& config_;
   SessionTable& sessions_;
-  Forwarder& forwarder_;
   BoundedRing<int> wake_;
   std::atomic<uint64_t> fence_{0};
   int64_t lease_until_ms_ = 0;
--- a/tests/entry_crash_test.cc
+++ b/tests/entry_crash_test.cc
@@ -24,22 +24,14 @@
 // Guards against one request that takes down engine after engine, and against
 // innocent requests that are lost with it.
 TEST_F(EntryCrash, PoisonAmongOthers_IsQuarantinedAndOthersFinish) {
-  std::mutex mutex;
-  std::map<std::string, int64_t> down;  // By engine, number of its crashes.
   std::atomic<int> poison_attempts{0};
   ring_.upstreams.token_delay_ms = 5;
-  ring_.upstreams.OnAttempt([&](const auto& upstream, const auto& request) {
-    std::lock_guard lock(mutex);
-    if (request.messages.find("poison") != std::string::npos) {
-      ++poison_attempts;
-      down[upstream.id.name] = 1;
-      return EngineFault{Kind::kReset, 0};
+  ring_.upstreams.OnAttempt([&](const auto&, const auto& request) {
+    if (request.messages.find("poison") == std::string::npos) {
+      return EngineFault{};
     }
-    // Everything else on a crashed engine is reset with it, once.
-    if (down[upstream.id.name]-- > 0) {
-      return EngineFault{Kind::kReset, 0};
-    }
-    return EngineFault{};
+    ++poison_attempts;
+    return EngineFault{Kind::kCrash};
   });
   std::vector<std::thread> threads;
   std::atomic<int> finished{0};
@@ -51,6 +43,7 @@
       finished += answer.status == 200 ? 1 : 0;
     });
   }
+  std::this_thread::sleep_for(std::chrono::milliseconds(15));
   const auto poisoned = caller_.Ask(caller_.Open(), 1, "poison");
   for (std::thread& thread : threads) {
     thread.join();
@@ -78,8 +71,6 @@
 // Guards against a suspect that shares its engine and makes others suspects.
 TEST_F(EntryCrash, Suspect_RunsAlone) {
   ring_.upstreams.token_delay_ms = 3;
-  std::mutex mutex;
-  std::map<std::string, int> running;
   std::atomic<bool> crashed{false};
   std::atomic<bool> shared{false};
   std::atomic<bool> suspect_ran{false};
