--- a/include/persimmonring/control.h
+++ b/include/persimmonring/control.h
@@ -136,7 +136,9 @@
 // ------------------------------------------------------------- reconciler plan
 
 /// What an engine reports: {"models": [{"name", "version"}...], "adapters":
-/// [{"name", "model", "version"}...], "role": "..."}.
+/// [{"name", "model", "version"}...], "role": "..."}. Instead of objects, a
+/// list may hold names, whose version is then taken as right, and "models" and
+/// "adapters" may be objects of names and versions.
 struct UpstreamReport {
   std::string upstream;
   std::string state;  ///< JSON text of GET /v1/state.
@@ -148,7 +150,9 @@
 struct PlannedOrder {
   std::string upstream;
   uint64_t fence = 0;
-  std::string action;  ///< "unload", "load_model", "load_adapter", "set_role"
+  /// "unload" (of the model or of the adapter), "load_model", "load_adapter",
+  /// "set_role"
+  std::string action;
   std::string model;
   std::string version;
   std::string adapter;
--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -139,6 +139,7 @@
   void OnControlPush(std::function<void(uint64_t version)> callback);
 
  private:
+  friend class CallInProgress;
   class Impl;
   std::unique_ptr<Impl> impl_;
 };
--- a/src/control_plan.cc
+++ b/src/control_plan.cc
@@ -13,8 +13,8 @@
 /// A model or adapter, desired or reported.
 struct Weights {
   std::string name;
-  std::string model;  ///< Of an adapter.
-  std::string version;
+  std::string model;                   ///< Of an adapter.
+  std::optional<std::string> version;  ///< nullopt: not reported.
 };
 
 struct EngineState {
@@ -28,25 +28,39 @@
   return it != object.end() && it->is_string() ? it->get<std::string>() : "";
 }
 
+/// @returns nullopt if the entry has no name
+std::optional<Weights> ReadEntry(const json& entry) {
+  Weights weights;
+  if (entry.is_string()) {
+    weights.name = entry.get<std::string>();
+  } else if (entry.is_object()) {
+    weights = {TextField(entry, "name"), TextField(entry, "model"),
+               TextField(entry, "version")};
+  }
+  return weights.name.empty() ? std::nullopt : std::optional(weights);
+}
+
+/// Engines report a list of objects, a list of names, or an object of names
+/// and versions.
 std::optional<std::vector<Weights>> ReadWeights(const json& report,
                                                 const char* key) {
   std::vector<Weights> all;
   const json list = report.value(key, json::array());
+  if (list.is_object()) {
+    for (const auto& [name, version] : list.items()) {
+      all.push_back({name, "", TextField(list, name.c_str())});
+    }
+    return all;
+  }
   if (!list.is_array()) {
     return std::nullopt;
   }
   for (const json& entry : list) {
-    Weights weights;
-    if (entry.is_string()) {
-      weights.name = entry.get<std::string>();
-    } else if (entry.is_object()) {
-      weights = {TextField(entry, "name"), TextField(entry, "model"),
-                 TextField(entry, "version")};
-    }
-    if (weights.name.empty()) {
+    auto weights = ReadEntry(entry);
+    if (!weights) {
       return std::nullopt;
     }
-    all.push_back(std::move(weights));
+    all.push_back(std::move(*weights));
   }
   return all;
 }
@@ -120,7 +134,7 @@
       if (NeedsLoad(model, Find(reported.models, model.name))) {
         AddLoad({.action = "load_model",
                  .model = model.name,
-                 .version = model.version});
+                 .version = *model.version});
       }
     }
     for (const Weights& adapter : desired.adapters) {
@@ -129,7 +143,7 @@
           NeedsLoad(adapter, Find(reported.adapters, adapter.name))) {
         AddLoad({.action = "load_adapter",
                  .model = adapter.model,
-                 .version = adapter.version,
+                 .version = *adapter.version,
                  .adapter = adapter.name});
       }
     }
@@ -141,15 +155,14 @@
  private:
   static bool NeedsLoad(const Weights& desired, const Weights* reported) {
     return reported == nullptr ||
-           (!desired.version.empty() && desired.version != reported->version);
+           (!desired.version->empty() && reported->version &&
+            desired.version != reported->version);
   }
 
   void Unload(const EngineState& desired, const EngineState& reported) {
     for (const Weights& adapter : reported.adapters) {
       if (Find(desired.adapters, adapter.name) == nullptr) {
-        Add({.action = "unload",
-             .model = adapter.model,
-             .adapter = adapter.name});
+        Add({.action = "unload", .adapter = adapter.name});
       }
     }
     for (const Weights& model : reported.models) {
--- /dev/null
+++ b/src/keeper_client_stores.cc
@@ -0,0 +1,159 @@
+#include "core_flatbuffer_p.h"
+#include "keeper.generated.h"
+#include "persimmonring/keeper.h"
+
+namespace ring {
+namespace {
+
+/// Decodes the result of a state machine, or passes the refusal of the client.
+template <typename T>
+Outcome<T> Decoded(const KeeperResult& result,
+                   Outcome<T> (*decode)(std::string_view)) {
+  return result ? decode(*result) : Outcome<T>(result.refusal());
+}
+
+class ReplicatedProgramStore final : public ProgramStoreI {
+ public:
+  explicit ReplicatedProgramStore(KeeperClient& client) : client_(client) {}
+
+  Outcome<ProgramState> Open(const OpenProgram& command) override {
+    return Decoded(Propose(command.id, program_codec::Encode(command)),
+                   program_codec::DecodeState);
+  }
+  Outcome<ProgramState> Acquire(const ProgramId& id,
+                                const std::string& entry) override {
+    return Decoded(Propose(id, program_codec::EncodeAcquire(id, entry)),
+                   program_codec::DecodeState);
+  }
+  Status Begin(const BeginCall& command) override {
+    return Run(command.id, program_codec::Encode(command));
+  }
+  Status Retry(const RetryCall& command) override {
+    return Run(command.id, program_codec::Encode(command));
+  }
+  Status Abort(const AbortCall& command) override {
+    return Run(command.id, program_codec::Encode(command));
+  }
+  Status Finish(const FinishCall& command) override {
+    return Run(command.id, program_codec::Encode(command));
+  }
+  Status End(const ProgramId& id, Reason reason) override {
+    return Run(id, program_codec::EncodeEnd(id, reason));
+  }
+  Status ConfirmRelease(const ProgramId& id,
+                        const UpstreamId& upstream) override {
+    return Run(id, program_codec::EncodeConfirmRelease(id, upstream));
+  }
+  Outcome<ProgramState> Read(const ProgramId& id) override {
+    return Decoded(Query(id, program_codec::EncodeRead(id)),
+                   program_codec::DecodeState);
+  }
+  Outcome<Ownership> Locate(const ProgramId& id) override {
+    return Decoded(Query(id, program_codec::EncodeLocate(id)),
+                   program_codec::DecodeOwnership);
+  }
+  Outcome<std::vector<PendingRelease>> PendingReleases(
+      const std::string& domain,
+      size_t limit) override {
+    return Decoded(
+        client_.Query(domain, program_codec::EncodePendingReleases(limit)),
+        program_codec::DecodeReleases);
+  }
+
+ private:
+  static Refusal UnknownProgram() {
+    return {Reason::kUnknownProgram, RunState::kNotRun, "malformed id"};
+  }
+  KeeperResult Propose(const ProgramId& id, const std::string& command) {
+    return isValid(id) ? client_.Propose(std::string(id.home_domain()), command)
+                       : UnknownProgram();
+  }
+  KeeperResult Query(const ProgramId& id, const std::string& query) {
+    return isValid(id) ? client_.Query(std::string(id.home_domain()), query)
+                       : UnknownProgram();
+  }
+  Status Run(const ProgramId& id, const std::string& command) {
+    return Decoded(Propose(id, command), program_codec::DecodeStatus);
+  }
+
+  KeeperClient& client_;
+};
+
+class ReplicatedControlStore final : public ControlStoreI {
+ public:
+  explicit ReplicatedControlStore(KeeperClient& client) : client_(client) {}
+
+  Outcome<NoteResult> ApplyNote(const ReleaseNote& note) override {
+    return Decoded(Propose(control_codec::Encode(note)),
+                   control_codec::DecodeNote);
+  }
+  Outcome<ControlView> Poll(const std::string& node,
+                            uint64_t have_version,
+                            uint64_t have_quarantine) override {
+    flatbuffers::FlatBufferBuilder builder;
+    const auto name = TextIn(builder, node);
+    builder.Finish(
+        fb::CreateControlPoll(builder, name, have_version, have_quarantine));
+    return Decoded(Call(fb::KeeperOp::ControlPoll, BytesOf(builder)),
+                   control_codec::DecodeView);
+  }
+  Outcome<ReconcilerLease> AcquireLease(const std::string& domain,
+                                        const std::string& entry,
+                                        int64_t duration_ms) override {
+    return Decoded(
+        Propose(control_codec::EncodeLease(domain, entry, duration_ms)),
+        control_codec::DecodeLease);
+  }
+  Status Quarantine(const std::string& digest,
+                    const std::string& reason) override {
+    return Decoded(Propose(control_codec::EncodeQuarantine(digest, reason)),
+                   control_codec::DecodeStatus);
+  }
+  Status DeclareDomainLost(const std::string& domain,
+                           const std::string& operator_id) override {
+    return Decoded(
+        Propose(control_codec::EncodeDomainLost(domain, operator_id)),
+        control_codec::DecodeStatus);
+  }
+  Outcome<std::vector<NodeVersion>> NodeVersions() override {
+    return Decoded(Call(fb::KeeperOp::NodeVersions, ""), DecodeVersions);
+  }
+
+ private:
+  static Outcome<std::vector<NodeVersion>> DecodeVersions(
+      std::string_view payload) {
+    const FlatView<fb::NodeVersions> view(payload);
+    if (!view) {
+      return Refusal{Reason::kCorruptData, RunState::kNotRun,
+                     "cannot decode the versions of nodes"};
+    }
+    std::vector<NodeVersion> versions;
+    if (view->nodes() != nullptr) {
+      for (const fb::NodeVersion* node : *view->nodes()) {
+        versions.push_back({std::string(TextOf(node->node())), node->version(),
+                            node->age_ms()});
+      }
+    }
+    return versions;
+  }
+  KeeperResult Call(fb::KeeperOp op, const std::string& payload) {
+    return client_.Call(kControlGroup, static_cast<uint8_t>(op), payload);
+  }
+  KeeperResult Propose(const std::string& command) {
+    return client_.Propose(kControlGroup, command);
+  }
+
+  KeeperClient& client_;
+};
+
+}  // namespace
+
+std::unique_ptr<ProgramStoreI> CreateProgramStore(KeeperClient& client) {
+  return std::make_unique<ReplicatedProgramStore>(client);
+}
+
+std::unique_ptr<ControlStoreI> CreateControlStore(KeeperClient& client) {
+  return std::make_unique<ReplicatedControlStore>(client);
+}
+
+}  // namespace ring
