Count resumed output whole and clear the linter's findings

Change: the entry adds the tokens received before a resume; the assembler does without the engine's whole text; findings are fixed.

--- a/fakes/entry_fixture.h
+++ b/fakes/entry_fixture.h
@@ -158,7 +158,7 @@
 
   Answer Post(const std::string& path,
               const std::string& body,
-              httplib::Headers headers = {}) {
+              const httplib::Headers& headers = {}) {
     return Take(client_->Post(path, headers, body, "application/json"));
   }
   Answer Get(const std::string& path) { return Take(client_->Get(path)); }
--- a/fakes/fake_upstreams.h
+++ b/fakes/fake_upstreams.h
@@ -261,7 +261,7 @@
     }
     result.finish_reason = "stop";
     result.prompt_tokens = CountTokens(request.messages.size());
-    result.output_tokens = tokens;
+    result.output_tokens = tokens - request.resume_from;
     return result;
   }
 
--- a/src/entry_attempts.cc
+++ b/src/entry_attempts.cc
@@ -90,7 +90,7 @@
   begin.reserve_tokens = call.reserve_tokens;
   begin.upstream = task.upstream.id;
   begin.holds_cache = engine;
-  const auto status = parts_.programs->Begin(begin);
+  auto status = parts_.programs->Begin(begin);
   call.begun = status.ok();
   return status;
 }
@@ -196,7 +196,7 @@
   call->suspect.store(false);
   if (model) {
     scheduler_.OnCallTime(spent_ms);
-    FinishModel(task, std::move(*model), text);
+    FinishModel(task, *model, text);
   } else {
     FinishService(task, *service);
   }
--- a/src/entry_attempts_model.cc
+++ b/src/entry_attempts_model.cc
@@ -92,8 +92,9 @@
     kept.tool_calls.clear();
     return kept;
   }
-  if (result && !text.Complete(result->text)) {
-    return DifferentText();
+  if (result) {
+    // The engine counts only what follows the point of resumption.
+    result->output_tokens += resume_from;
   }
   if (!result && stop_reading.cancelled()) {
     return cancel.cancelled()
@@ -146,7 +147,7 @@
 }
 
 void AttemptRunner::FinishModel(const AttemptTask& task,
-                                EngineResult result,
+                                const EngineResult& result,
                                 TextAssembler& text) {
   const CallPtr& call = task.call;
   upstreams_.OnResult(task.upstream.id, result);
--- a/src/entry_attempts_p.h
+++ b/src/entry_attempts_p.h
@@ -41,7 +41,7 @@
   bool CanResume(const UpstreamRecord& upstream) const;
   Outcome<ServiceResult> RunService(const AttemptTask& task);
   void FinishModel(const AttemptTask& task,
-                   EngineResult result,
+                   const EngineResult& result,
                    TextAssembler& text);
   void FinishService(const AttemptTask& task, const ServiceResult& result);
   /// @returns true if the outcome is committed (or needs no commit); else the
--- a/src/entry_format.cc
+++ b/src/entry_format.cc
@@ -15,7 +15,7 @@
 
 constexpr char kJson[] = "application/json";
 
-json ParseOr(const std::string& text, json fallback) {
+json ParseOr(const std::string& text, const json& fallback) {
   json value = json::parse(text, nullptr, false);
   return value.is_discarded() ? fallback : value;
 }
--- a/src/entry_http.cc
+++ b/src/entry_http.cc
@@ -276,7 +276,7 @@
     SetRefusal(response, final.refusal);
   }
   response.status = final.http_status;
-  response.set_content(final.body, final.content_type.c_str());
+  response.set_content(final.body, final.content_type);
   metrics::Count("ring_caller_bytes_total", {{"direction", "out"}},
                  static_cast<double>(final.body.size()));
 }
--- a/src/entry_http_server.cc
+++ b/src/entry_http_server.cc
@@ -64,11 +64,11 @@
 
 void ConnectionQueue::enqueue(std::function<void()> task) {
   waiting_.fetch_add(1);
-  if (tasks_.TryPush(std::move(task))) {
+  if (tasks_.TryPush(std::function<void()>(task))) {
     return;
   }
   waiting_.fetch_sub(1);
-  if (!refused_.TryPush(std::move(task))) {
+  if (!refused_.TryPush(std::function<void()>(task))) {
     // Even refusals wait: the accepting thread slows down to their pace.
     refusing_thread = true;
     task();
--- a/src/entry_programs.cc
+++ b/src/entry_programs.cc
@@ -33,7 +33,7 @@
   command.idle_limit_ms = request.idle_ms;
   command.parent = request.parent;
   command.owner = init_.node;
-  const auto state = parts_.programs->Open(command);
+  auto state = parts_.programs->Open(command);
   sessions_.gate().Report(domain, state.refusal().reason);
   if (!state) {
     Refusal refusal = state.refusal();
@@ -57,11 +57,11 @@
 Status CallService::End(const ProgramId& id) {
   const SessionPtr session = sessions_.FindCached(id);
   const std::string domain(id.home_domain());
-  const auto gate = sessions_.gate().Check(domain);
+  auto gate = sessions_.gate().Check(domain);
   if (!gate) {
     return gate;
   }
-  const auto status = parts_.programs->End(id, Reason::kNone);
+  auto status = parts_.programs->End(id, Reason::kNone);
   sessions_.gate().Report(domain, status.refusal().reason);
   if (!status) {
     return status;
@@ -90,7 +90,7 @@
   if (!gate) {
     return gate.refusal();
   }
-  const auto state = parts_.programs->Read(id);
+  auto state = parts_.programs->Read(id);
   sessions_.gate().Report(domain, state.refusal().reason);
   return state;
 }
--- a/src/entry_text.cc
+++ b/src/entry_text.cc
@@ -50,18 +50,6 @@
   return token;
 }
 
-bool TextAssembler::Complete(const std::string& text) {
-  if (text.size() <= text_.size()) {
-    return true;
-  }
-  if (!text.starts_with(text_)) {
-    // An engine may report only the text after the point of resumption.
-    return true;
-  }
-  text_ = text;
-  return Consistent();
-}
-
 void TextAssembler::ReleaseAll() {
   Release(text_.size());
 }
--- a/src/entry_text_p.h
+++ b/src/entry_text_p.h
@@ -27,9 +27,6 @@
   /// @returns token from which a cut stream can be resumed; drops the last
   ///          piece, whose token count is not known
   int64_t PrepareResume();
-  /// Takes the engine's whole text if it sent more than its pieces.
-  /// @returns false if it does not continue the pieces
-  bool Complete(const std::string& text);
   /// Releases everything, after the outcome is committed.
   void ReleaseAll();
   /// @returns false if not all released text was produced again
--- a/tests/entry_crash_test.cc
+++ b/tests/entry_crash_test.cc
@@ -7,6 +7,8 @@
 namespace ring {
 namespace {
 
+constexpr size_t kThreads = 16;  // At least as many as a test starts.
+
 using Kind = EngineFault::Kind;
 
 class EntryCrash : public ::testing::Test {
@@ -34,6 +36,7 @@
     return EngineFault{Kind::kCrash};
   });
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   std::atomic<int> finished{0};
   for (int i = 0; i < 8; ++i) {
     threads.emplace_back([&, i] {
@@ -92,6 +95,7 @@
   });
   std::atomic<bool> stop{false};
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < 6; ++i) {
     threads.emplace_back([&] {
       Caller caller(entry_);
--- a/tests/entry_drain_test.cc
+++ b/tests/entry_drain_test.cc
@@ -7,6 +7,8 @@
 namespace ring {
 namespace {
 
+constexpr size_t kThreads = 16;  // At least as many as a test starts.
+
 class EntryDrain : public ::testing::Test {
  protected:
   bool WaitFor(const std::function<bool()>& condition) const {
@@ -26,6 +28,7 @@
   ring_.upstreams.token_delay_ms = 100;  // 600 ms for each call, 4 at once.
   std::atomic<int> whole{0};
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < 8; ++i) {
     threads.emplace_back([&, program = caller_.Open()] {
       Caller caller(entry_);
--- a/tests/entry_faults_test.cc
+++ b/tests/entry_faults_test.cc
@@ -50,6 +50,7 @@
     EXPECT_EQ(stream && !answer.complete(), false) << answer.body;
     const auto again = caller_.Ask(program, 1, "hello");
     EXPECT_EQ(again.content(), expected);
+    EXPECT_EQ(again.json()["usage"]["completion_tokens"], 6);
   }
 }
 
--- a/tests/entry_http_test.cc
+++ b/tests/entry_http_test.cc
@@ -10,6 +10,8 @@
 namespace ring {
 namespace {
 
+constexpr size_t kThreads = 16;  // At least as many as a test starts.
+
 EntryInit SmallInit() {
   EntryInit init = TestEntry::DefaultInit("entry-1");
   init.http_limits.threads = 4;
@@ -32,7 +34,7 @@
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(gap_ms));
     }
-    const std::string answer = ReadAll(fd);
+    std::string answer = ReadAll(fd);
     close(fd);
     return answer;
   }
@@ -160,6 +162,7 @@
   ring_.upstreams.service_delay_ms = 600;
   const std::string program = caller_.Open();
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   std::atomic<int> served{0};
   std::atomic<int> refused{0};
   for (int i = 0; i < 12; ++i) {
--- a/tests/entry_order_test.cc
+++ b/tests/entry_order_test.cc
@@ -7,6 +7,8 @@
 namespace ring {
 namespace {
 
+constexpr size_t kThreads = 16;  // At least as many as a test starts.
+
 class EntryOrder : public ::testing::Test {
  protected:
   FakeRing ring_;
@@ -35,6 +37,7 @@
   const std::string program = caller_.Open();
   std::vector<std::string> bodies(4);
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (std::string& body : bodies) {
     threads.emplace_back([&] {
       Caller caller(entry_);
@@ -52,6 +55,7 @@
 TEST_F(EntryOrder, CallsSentInReverse_RunInSequence) {
   const std::string program = caller_.Open();
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int sequence = 4; sequence >= 1; --sequence) {
     threads.emplace_back([this, program, sequence] {
       Caller caller(entry_);
@@ -126,6 +130,7 @@
   other.join();
   const auto runs = ring_.upstreams.runs();
   std::vector<uint64_t> order;
+  order.reserve(runs.size());
   for (const std::string& body : runs) {
     order.push_back(std::stoull(body));
   }
