--- a/apps/ringkeeper/main.cc
+++ b/apps/ringkeeper/main.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr int64_t kPollMs = 20;
+constexpr int64_t kSignalWaitMs = 1'000;
+// Longer than an election; an order that was lost is repeated.
+constexpr int64_t kHandOverRetryMs = 500;
 
 struct Options {
   std::string config;
@@ -54,9 +57,13 @@
 
 void HandOver(KeeperHost& host, int64_t limit_ms) {
   const int64_t end_ms = SystemClock().NowMs() + limit_ms;
-  host.HandOver();
+  int64_t next_ms = 0;
   while (host.led_groups() > 0 && SystemClock().NowMs() < end_ms) {
-    WaitStopSignal(kPollMs);
+    if (SystemClock().NowMs() >= next_ms) {
+      next_ms = SystemClock().NowMs() + kHandOverRetryMs;
+      host.HandOver();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
   }
   Event(LogLevel::kInfo, "leadership_handed_over")
       .Add("still_led", uint64_t{host.led_groups()});
@@ -91,7 +98,7 @@
   supervisor.Start();
   Event(LogLevel::kInfo, "keeper_started")
       .Add("listen", settings.Address("listen").ToString());
-  while (!WaitStopSignal(kPollMs * 50)) {
+  while (!WaitStopSignal(kSignalWaitMs)) {
   }
   HandOver(host, settings.Int("hand_over_ms"));
   supervisor.Stop();
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -89,6 +89,7 @@
 Status GroupHost::Run(const StopToken& stop) {
   if (!replica_) {
     if (Status status = Open(); !status) {
+      RefuseWaiting(status.refusal());
       return status;
     }
   }
@@ -99,10 +100,12 @@
         std::clamp<int64_t>(next_tick_ms_ - clock_.NowMs(), 0, init_.tick_ms);
     status = Pass(inbox_.PopAll(wait_ms));
   }
-  FailPending(status ? "the keeper stops" : status.refusal().message);
+  FailPending(0, status ? "the keeper stops" : status.refusal().message);
+  FailQueries(status ? "the keeper stops" : status.refusal().message);
   has_leader_ = false;
   leads_ = false;
   if (!status) {
+    RefuseWaiting(status.refusal());
     metrics::Count("ring_log_failures_total", {{"group", name()}});
     replica_.reset();
   }
@@ -210,7 +213,10 @@
   if (!snapshot.data.empty()) {
     status = machine_->Load(snapshot.data);
   }
-  FailPending("a snapshot replaced the log");
+  FailPending(0, "a snapshot replaced the log");
+  if (name() == kControlGroup) {
+    PushControl();
+  }
   Event(LogLevel::kInfo, "snapshot_installed")
       .Add("group", name())
       .Add("index", snapshot.meta.index)
@@ -244,6 +250,11 @@
     std::string result;
     if (entry.kind == EntryKind::kCommand) {
       result = machine_->Apply(entry.index, entry.time_ms, entry.data);
+    } else if (entry.kind == EntryKind::kConfig) {
+      Event(LogLevel::kInfo, "members_changed")
+          .Add("group", name())
+          .Add("index", entry.index)
+          .Add("voters", uint64_t{replica_->config().voter_count()});
     }
     const auto found = pending_.find(entry.index);
     if (found == pending_.end()) {
@@ -288,9 +299,9 @@
   const ReplicaStatus status = replica_->status();
   has_leader_ = status.leader != 0;
   leads_ = replica_->is_leader();
-  if (!replica_->is_leader()) {
-    FailPending("leadership was lost before the entry was committed");
-  }
+  leader_node_ = NodeOf(status.leader);
+  FailPending(replica_->is_leader() ? status.term : 0,
+              "leadership was lost before the entry was committed");
   if (status.leader == known_leader_ && status.term == known_term_) {
     return;
   }
@@ -307,13 +318,21 @@
 }
 
 // The entries may still be committed by the next leader.
-void GroupHost::FailPending(const std::string& message) {
-  for (const auto& [index, pending] : std::exchange(pending_, {})) {
-    Refuse(pending.caller, {Reason::kNoQuorum, RunState::kUnknown, message});
-  }
-  if (replica_ && replica_->is_leader()) {
-    return;
+void GroupHost::FailPending(uint64_t kept_term, const std::string& message) {
+  std::vector<Caller> callers;
+  std::erase_if(pending_, [&](const auto& item) {
+    const bool failed = item.second.term != kept_term;
+    if (failed) {
+      callers.push_back(item.second.caller);
+    }
+    return failed;
+  });
+  for (const Caller& caller : callers) {
+    Refuse(caller, {Reason::kNoQuorum, RunState::kUnknown, message});
   }
+}
+
+void GroupHost::FailQueries(const std::string& message) {
   for (const auto& [id, queries] : std::exchange(queries_, {})) {
     for (const Query& query : queries) {
       Refuse(query.caller, {Reason::kNoQuorum, RunState::kNotRun, message});
@@ -321,6 +340,15 @@
   }
 }
 
+// While the store cannot be opened, nothing waits for it.
+void GroupHost::RefuseWaiting(const Refusal& refusal) {
+  for (const GroupInput& input : inbox_.PopAll(0)) {
+    if (input.kind == GroupInput::Kind::kRequest) {
+      Refuse({input.session, input.correlation}, refusal);
+    }
+  }
+}
+
 Status GroupHost::SnapshotIfDue() {
   const SnapshotMeta meta = replica_->AppliedMeta();
   const uint64_t covered = meta.index - replica_->start_index();
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -101,7 +101,10 @@
   void AnswerReads(const Ready& ready);
   Status SnapshotIfDue();
   void NoteLeader();
-  void FailPending(const std::string& message);
+  /// @param kept_term proposals of this term go on waiting; 0: none
+  void FailPending(uint64_t kept_term, const std::string& message);
+  void FailQueries(const std::string& message);
+  void RefuseWaiting(const Refusal& refusal);
   void ProposeExpire(int64_t now_ms);
   std::string NodeOf(ReplicaNumber id) const;
 
@@ -145,6 +148,7 @@
   int64_t next_second_ms_ = 0;
   uint64_t expire_index_ = 0;
   ReplicaNumber known_leader_ = 0;
+  std::string leader_node_;
   uint64_t known_term_ = 0;
   NodeVersionTable versions_;
   uint64_t control_version_ = 0;
--- a/src/keeper_group_requests.cc
+++ b/src/keeper_group_requests.cc
@@ -53,31 +53,34 @@
                            "the result is larger than one frame may be"});
   }
   waiting_requests_.fetch_sub(1);
-  const std::string leader = NodeOf(replica_->status().leader);
-  outlet_.SendTo(caller.session,
-                 {.kind = FrameKind::KeeperReply,
-                  .group = name(),
-                  .correlation = caller.correlation,
-                  .payload = EncodeKeeperReply(std::move(payload), leader)});
+  outlet_.SendTo(caller.session, {.kind = FrameKind::KeeperReply,
+                                  .group = name(),
+                                  .correlation = caller.correlation,
+                                  .payload = EncodeKeeperReply(
+                                      std::move(payload), leader_node_)});
 }
 
 void GroupHost::Refuse(const Caller& caller, Refusal refusal) {
   waiting_requests_.fetch_sub(1);
   metrics::CountRefusal(refusal.reason);
-  const std::string leader =
-      replica_ ? NodeOf(replica_->status().leader) : std::string();
-  outlet_.SendTo(caller.session,
-                 {.kind = FrameKind::KeeperReply,
-                  .group = name(),
-                  .correlation = caller.correlation,
-                  .payload = EncodeKeeperReply(std::move(refusal), leader)});
+  outlet_.SendTo(caller.session, {.kind = FrameKind::KeeperReply,
+                                  .group = name(),
+                                  .correlation = caller.correlation,
+                                  .payload = EncodeKeeperReply(
+                                      std::move(refusal), leader_node_)});
 }
 
 void GroupHost::Await(const Caller& caller, const Outcome<Proposed>& proposed) {
-  if (proposed) {
-    pending_[proposed->index] = {proposed->term, caller};
-  } else {
-    Refuse(caller, proposed.refusal());
+  if (!proposed) {
+    return Refuse(caller, proposed.refusal());
+  }
+  const auto [it, added] =
+      pending_.try_emplace(proposed->index, Pending{proposed->term, caller});
+  if (!added) {
+    // An entry of an earlier term was here; another leader had replaced it.
+    Refuse(it->second.caller,
+           {Reason::kNoQuorum, RunState::kUnknown, "leadership was lost"});
+    it->second = {proposed->term, caller};
   }
 }
 
@@ -234,8 +237,7 @@
   if (name() != kControlGroup || replica_->is_leader() || versions_.empty()) {
     return;
   }
-  const std::string leader = NodeOf(replica_->status().leader);
-  if (leader.empty()) {
+  if (leader_node_.empty()) {
     return;
   }
   const std::string table = versions_.Encode(clock_.NowMs());
@@ -244,9 +246,9 @@
       reinterpret_cast<const uint8_t*>(table.data()), table.size());
   builder.Finish(
       fb::CreateKeeperRequest(builder, fb::KeeperOp::NodeVersions, bytes));
-  outlet_.SendToNode(leader, {.kind = FrameKind::KeeperRequest,
-                              .group = name(),
-                              .payload = Finished(builder)});
+  outlet_.SendToNode(leader_node_, {.kind = FrameKind::KeeperRequest,
+                                    .group = name(),
+                                    .payload = Finished(builder)});
 }
 
 void GroupHost::PushControl() {
--- /dev/null
+++ b/tests/keeper_host_fixture.h
@@ -0,0 +1,298 @@
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "fakes/fake_disk.h"
+#include "fakes/fake_hub.h"
+#include "keeper.generated.h"
+#include "persimmonring/keeper.h"
+
+namespace ring {
+
+/// Joins all commands with ';'.
+class JoinMachine final : public StateMachineI {
+ public:
+  std::string Apply(uint64_t index,
+                    int64_t /*time_ms*/,
+                    std::string_view command) override {
+    state_ += std::string(command) + ";";
+    return std::to_string(index) + ":" + std::string(command);
+  }
+  std::string Query(std::string_view /*query*/) const override {
+    return state_;
+  }
+  std::string Save() const override { return state_; }
+  Status Load(std::string_view snapshot) override {
+    state_ = snapshot;
+    return Done{};
+  }
+
+ private:
+  std::string state_;
+};
+
+/// Disk whose syncs take a while, so that requests pile up.
+class SlowDisk final : public DiskI {
+ public:
+  SlowDisk(std::shared_ptr<FakeDisk::Medium> medium, int64_t sync_ms)
+      : disk_(std::move(medium)), sync_ms_(sync_ms) {}
+  Outcome<std::vector<std::string>> List() override { return disk_.List(); }
+  Outcome<std::string> Read(const std::string& name) override {
+    return disk_.Read(name);
+  }
+  Status Append(const std::string& name, std::string_view bytes) override {
+    return disk_.Append(name, bytes);
+  }
+  Status Sync(const std::string& name) override {
+    std::this_thread::sleep_for(std::chrono::milliseconds(sync_ms_));
+    return disk_.Sync(name);
+  }
+  Status Replace(const std::string& name, std::string_view bytes) override {
+    return disk_.Replace(name, bytes);
+  }
+  Status Truncate(const std::string& name, uint64_t size) override {
+    return disk_.Truncate(name, size);
+  }
+  Status Remove(const std::string& name) override { return disk_.Remove(name); }
+
+ private:
+  FakeDisk disk_;
+  const int64_t sync_ms_;
+};
+
+/// Entry that sends keeper requests.
+class TestClient final : public HubListenerI {
+ public:
+  explicit TestClient(FakeNet& net) : hub_(net, "client") {
+    net.Add("client", *this);
+  }
+
+  void OnOpened(SessionHandle /*session*/, const PeerInfo& /*peer*/) override {}
+  void OnClosed(SessionHandle /*session*/,
+                const PeerInfo& /*peer*/,
+                Reason /*reason*/) override {}
+  void OnFrame(SessionHandle /*session*/,
+               const PeerInfo& /*peer*/,
+               const Frame& frame) override {
+    std::lock_guard lock(mutex_);
+    if (frame.kind == FrameKind::ControlPush) {
+      pushed_version_ =
+          flatbuffers::GetRoot<fb::ControlPush>(frame.payload.data())
+              ->version();
+    } else {
+      replies_[frame.correlation] = frame.payload;
+    }
+    changed_.notify_all();
+  }
+
+  /// @returns the correlation
+  uint64_t Send(const std::string& node,
+                const std::string& group,
+                fb::KeeperOp op,
+                const std::string& payload = "") {
+    flatbuffers::FlatBufferBuilder builder;
+    const auto bytes = builder.CreateVector(
+        reinterpret_cast<const uint8_t*>(payload.data()), payload.size());
+    builder.Finish(fb::CreateKeeperRequest(builder, op, bytes));
+    const uint64_t correlation = next_++;
+    const Frame frame = {
+        .kind = FrameKind::KeeperRequest,
+        .group = group,
+        .correlation = correlation,
+        .payload = {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                    builder.GetSize()}};
+    hub_.Send(hub_.FindByNode(node), frame);
+    return correlation;
+  }
+
+  Outcome<std::string> Wait(uint64_t correlation) {
+    constexpr auto kLimit = std::chrono::seconds(10);
+    std::unique_lock lock(mutex_);
+    if (!changed_.wait_for(lock, kLimit,
+                           [&] { return replies_.contains(correlation); })) {
+      return Refusal{.reason = Reason::kInternal, .message = "no reply"};
+    }
+    const auto* reply =
+        flatbuffers::GetRoot<fb::KeeperReply>(replies_[correlation].data());
+    leader_ = reply->leader()->str();
+    if (!reply->ok()) {
+      return Refusal{*ReasonFromString(reply->reason()->str()),
+                     static_cast<RunState>(reply->run_state()),
+                     reply->message()->str()};
+    }
+    return std::string(reinterpret_cast<const char*>(reply->payload()->data()),
+                       reply->payload()->size());
+  }
+
+  Outcome<std::string> Call(const std::string& node,
+                            const std::string& group,
+                            fb::KeeperOp op,
+                            const std::string& payload = "") {
+    return Wait(Send(node, group, op, payload));
+  }
+
+  const std::string& leader() const { return leader_; }
+  uint64_t pushed_version() {
+    std::lock_guard lock(mutex_);
+    return pushed_version_;
+  }
+
+ private:
+  FakeHub hub_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<uint64_t, std::string> replies_;
+  std::string leader_;
+  uint64_t next_ = 1;
+  uint64_t pushed_version_ = 0;
+};
+
+/// Keepers k1, k2, ... in one process, each with its own threads and disk.
+class KeeperHostTest : public testing::Test {
+ protected:
+  struct Keeper {
+    std::map<std::string, std::shared_ptr<FakeDisk::Medium>> media;
+    std::unique_ptr<KeeperHost> host;
+    std::unique_ptr<FakeHub> hub;
+    std::unique_ptr<Supervisor> supervisor;
+  };
+
+  static constexpr char kGroup[] = "salem";
+
+  void TearDown() override {
+    for (auto& [node, keeper] : keepers_) {
+      Stop(node);
+    }
+  }
+
+  KeeperHostInit InitOf(const std::string& node, ReplicaNumber id) {
+    KeeperHostInit init;
+    init.ring = "r";
+    init.node = node;
+    init.data_folder = "data";
+    init.replicas = {{group_, id, initial_}};
+    for (int i = 1; i <= 4; ++i) {
+      init.keepers["k" + std::to_string(i)] = {};
+    }
+    init.tick_ms = 10;
+    init.max_pending_proposals = max_pending_;
+    init.snapshot_entries = snapshot_entries_;
+    init.seed = id;
+    init.initialize = true;
+    if (group_ != kControlGroup) {
+      init.create_machine = [](const std::string&) {
+        return std::make_unique<JoinMachine>();
+      };
+    }
+    init.open_disk =
+        [this,
+         node](const std::string& folder) -> Outcome<std::unique_ptr<DiskI>> {
+      auto& medium = keepers_[node].media[folder];
+      if (!medium) {
+        medium = std::make_shared<FakeDisk::Medium>();
+      }
+      return std::unique_ptr<DiskI>(
+          std::make_unique<SlowDisk>(medium, sync_ms_));
+    };
+    return init;
+  }
+
+  void Start(const std::string& node, ReplicaNumber id) {
+    Keeper& keeper = keepers_[node];
+    auto host = KeeperHost::Create(InitOf(node, id), SystemClock());
+    ASSERT_TRUE(host) << host.refusal().message;
+    keeper.host = std::move(*host);
+    keeper.hub = std::make_unique<FakeHub>(net_, node);
+    keeper.host->Attach(*keeper.hub);
+    keeper.supervisor =
+        std::make_unique<Supervisor>(Supervisor::Init{.name = node});
+    keeper.host->AddDuties(*keeper.supervisor);
+    net_.Add(node, *keeper.host);
+    keeper.supervisor->Start();
+  }
+
+  void Stop(const std::string& node) {
+    Keeper& keeper = keepers_[node];
+    if (keeper.host) {
+      net_.Remove(node);
+      keeper.supervisor->Stop();
+      keeper.host.reset();
+    }
+  }
+
+  void StartThree() {
+    for (ReplicaNumber id = 1; id <= 3; ++id) {
+      initial_.push_back({id, "k" + std::to_string(id), true});
+    }
+    for (const Member& member : initial_) {
+      Start(member.node, member.id);
+    }
+  }
+
+  template <typename F>
+  static bool WaitFor(F condition) {
+    constexpr int kPolls = 2'000;
+    for (int i = 0; i < kPolls; ++i) {
+      if (condition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return false;
+  }
+
+  /// @returns the node that leads, other than `except`
+  std::string Leader(const std::string& except = "") {
+    std::string found;
+    EXPECT_TRUE(WaitFor([&] {
+      for (const auto& [node, keeper] : keepers_) {
+        if (node != except && keeper.host && keeper.host->led_groups() > 0) {
+          found = node;
+          return true;
+        }
+      }
+      return false;
+    })) << "no leader";
+    return found;
+  }
+
+  std::string Follower(const std::string& leader) {
+    return leader == "k1" ? "k2" : "k1";
+  }
+
+  Outcome<std::string> Propose(const std::string& command) {
+    return client_.Call(Leader(), group_, fb::KeeperOp::Propose, command);
+  }
+
+  std::string LocalState(const std::string& node) {
+    const auto state = client_.Call(node, group_, fb::KeeperOp::QueryLocal);
+    return state ? *state : "";
+  }
+
+  static std::string Change(ReplicaNumber id, const std::string& node) {
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(
+        fb::CreateReplicaChange(builder, id, builder.CreateString(node)));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+            builder.GetSize()};
+  }
+
+  std::string group_ = kGroup;
+  std::vector<Member> initial_;
+  int64_t sync_ms_ = 0;
+  size_t max_pending_ = 1'000;
+  uint64_t snapshot_entries_ = 20'000;
+  FakeNet net_;
+  std::map<std::string, Keeper> keepers_;
+  TestClient client_{net_};
+};
+
+}  // namespace ring
--- /dev/null
+++ b/tests/keeper_host_test.cc
@@ -0,0 +1,274 @@
+#include "tests/keeper_host_fixture.h"
+
+namespace ring {
+namespace {
+
+using Op = fb::KeeperOp;
+
+TEST_F(KeeperHostTest, ThreeKeepers_AnswerProposalsAndQueriesAtTheLeader) {
+  StartThree();
+  const auto result = Propose("a");
+  ASSERT_TRUE(result) << result.refusal().message;
+  EXPECT_NE(result->find(":a"), std::string::npos);
+  EXPECT_EQ(*client_.Call(Leader(), group_, Op::Query), "a;");
+  for (const char* node : {"k1", "k2", "k3"}) {
+    EXPECT_TRUE(WaitFor([&] { return LocalState(node) == "a;"; }));
+    EXPECT_TRUE(keepers_[node].host->ready());
+  }
+}
+
+// Guards against a client that cannot find the leader, and against a refusal
+// without a true run state.
+TEST_F(KeeperHostTest, RequestElsewhere_IsNotRunAndNamesTheLeader) {
+  StartThree();
+  const std::string leader = Leader();
+  const std::string follower = Follower(leader);
+  ASSERT_TRUE(Propose("a"));
+  ASSERT_TRUE(WaitFor([&] { return keepers_[follower].host->ready(); }));
+  for (const Op op : {Op::Propose, Op::Query, Op::Backup}) {
+    const auto refused = client_.Call(follower, group_, op, "b");
+    EXPECT_EQ(refused.refusal().reason, Reason::kNotLeader);
+    EXPECT_EQ(refused.refusal().run_state, RunState::kNotRun);
+    EXPECT_EQ(client_.leader(), leader);
+  }
+  EXPECT_EQ(client_.Call(leader, "other", Op::Query).refusal().reason,
+            Reason::kNotLeader);
+}
+
+// Guards against one sync for each entry.
+TEST_F(KeeperHostTest, ProposalsThatWait_ShareSyncs) {
+  sync_ms_ = 5;
+  StartThree();
+  const std::string leader = Leader();
+  ASSERT_TRUE(Propose("first"));
+  const auto& medium = keepers_[leader].media["data/salem"];
+  const int64_t before = medium->syncs;
+  std::vector<uint64_t> sent;
+  for (int i = 0; i < 300; ++i) {
+    sent.push_back(client_.Send(leader, group_, Op::Propose, "x"));
+  }
+  for (const uint64_t correlation : sent) {
+    EXPECT_TRUE(client_.Wait(correlation));
+  }
+  EXPECT_LT(medium->syncs - before, 60);
+}
+
+// Guards against an unbounded queue, and against a proposal that runs although
+// it was refused.
+TEST_F(KeeperHostTest, TooManyRequests_AreRefusedQueueFullNotRun) {
+  sync_ms_ = 20;
+  max_pending_ = 8;
+  StartThree();
+  const std::string leader = Leader();
+  ASSERT_TRUE(Propose("first"));
+  const Labels labels = {{"reason", "queue_full"}};
+  const double counted = metrics::Value("ring_refusals_total", labels);
+  std::vector<uint64_t> sent;
+  for (int i = 0; i < 40; ++i) {
+    sent.push_back(
+        client_.Send(leader, group_, Op::Propose, "n" + std::to_string(i)));
+  }
+  int refused = 0;
+  std::string accepted = "first;";
+  for (int i = 0; i < 40; ++i) {
+    const auto result = client_.Wait(sent[static_cast<size_t>(i)]);
+    if (result) {
+      accepted += "n" + std::to_string(i) + ";";
+      continue;
+    }
+    ++refused;
+    EXPECT_EQ(result.refusal().reason, Reason::kQueueFull);
+    EXPECT_EQ(result.refusal().run_state, RunState::kNotRun);
+  }
+  EXPECT_GE(refused, 20);
+  EXPECT_EQ(metrics::Value("ring_refusals_total", labels), counted + refused);
+  EXPECT_EQ(*client_.Call(leader, group_, Op::Query), accepted);
+  // The places of answered requests are free again.
+  EXPECT_TRUE(Propose("last"));
+}
+
+// Guards against "not run" for an entry that the next leader may commit.
+TEST_F(KeeperHostTest, LeaderCutOff_PendingProposalIsUnknownReadIsNotRun) {
+  StartThree();
+  const std::string leader = Leader();
+  ASSERT_TRUE(Propose("a"));
+  net_.Isolate(leader, {"k1", "k2", "k3"});
+  const uint64_t proposal = client_.Send(leader, group_, Op::Propose, "b");
+  const uint64_t query = client_.Send(leader, group_, Op::Query);
+  const auto proposed = client_.Wait(proposal);
+  EXPECT_EQ(proposed.refusal().reason, Reason::kNoQuorum);
+  EXPECT_EQ(proposed.refusal().run_state, RunState::kUnknown);
+  const auto queried = client_.Wait(query);
+  EXPECT_EQ(queried.refusal().run_state, RunState::kNotRun);
+  EXPECT_FALSE(keepers_[leader].host->ready());
+  const std::string next = Leader(leader);
+  ASSERT_TRUE(client_.Call(next, group_, Op::Propose, "c"));
+  net_.Heal();
+  EXPECT_TRUE(WaitFor([&] { return LocalState(leader) == "a;c;"; }));
+}
+
+// Guards against a keeper that answers although its disk failed, or never
+// returns after the fault has passed.
+TEST_F(KeeperHostTest, DiskOfLeaderFails_OthersTakeOverAndItRejoins) {
+  StartThree();
+  const std::string leader = Leader();
+  ASSERT_TRUE(Propose("a"));
+  auto& medium = *keepers_[leader].media["data/salem"];
+  medium.fail_after_too = true;
+  medium.fail_at = 1;
+  const auto failed = client_.Call(leader, group_, Op::Propose, "b");
+  ASSERT_FALSE(failed);
+  EXPECT_EQ(failed.refusal().run_state, RunState::kUnknown);
+  const auto refused = client_.Call(leader, group_, Op::Propose, "c");
+  EXPECT_EQ(refused.refusal().reason, Reason::kStorageFailed);
+  EXPECT_EQ(refused.refusal().run_state, RunState::kNotRun);
+  const std::string next = Leader(leader);
+  ASSERT_TRUE(client_.Call(next, group_, Op::Propose, "d"));
+  medium.fail_at = 0;
+  medium.fail_after_too = false;
+  const std::string state = *client_.Call(next, group_, Op::Query);
+  EXPECT_NE(state.find("d;"), std::string::npos);
+  EXPECT_TRUE(WaitFor([&] { return LocalState(leader) == state; }));
+}
+
+// Guards against a replica whose disk was lost and that starts under its old
+// id.
+TEST_F(KeeperHostTest, EmptyFolderWithoutInitialize_IsRefused) {
+  StartThree();
+  ASSERT_TRUE(Propose("a"));
+  Stop("k2");
+  keepers_["k2"].media.clear();
+  KeeperHostInit init = InitOf("k2", 2);
+  init.initialize = false;
+  const auto host = KeeperHost::Create(init, SystemClock());
+  ASSERT_FALSE(host);
+  EXPECT_EQ(host.refusal().reason, Reason::kCorruptData);
+  EXPECT_NE(host.refusal().message.find("add a new id"), std::string::npos);
+}
+
+TEST_F(KeeperHostTest, LostReplica_IsReplacedByALearnerThatBecomesVoter) {
+  snapshot_entries_ = 16;
+  StartThree();
+  const std::string leader = Leader();
+  const std::string lost = Follower(leader);
+  const ReplicaNumber lost_id = lost == "k1" ? 1 : 2;
+  Stop(lost);
+  for (int i = 0; i < 60; ++i) {
+    ASSERT_TRUE(Propose("c" + std::to_string(i)));
+  }
+  initial_.clear();
+  Start("k4", 4);
+  ASSERT_TRUE(
+      client_.Call(leader, group_, Op::RemoveReplica, Change(lost_id, "")));
+  ASSERT_TRUE(WaitFor([&] {
+    return client_.Call(leader, group_, Op::AddReplica, Change(4, "k4")).ok();
+  }));
+  EXPECT_TRUE(WaitFor([&] {
+    const auto status = client_.Call(leader, group_, Op::GroupStatus);
+    for (const auto* member :
+         *flatbuffers::GetRoot<fb::GroupStatus>(status->data())->members()) {
+      if (member->id() == 4 && member->voter()) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  const std::string state = *client_.Call(leader, group_, Op::Query);
+  EXPECT_TRUE(WaitFor([&] { return LocalState("k4") == state; }));
+  EXPECT_EQ(client_.Call(leader, group_, Op::AddReplica, Change(4, "k4"))
+                .refusal()
+                .reason,
+            Reason::kConflict);
+}
+
+TEST_F(KeeperHostTest, TransferAndHandOver_MoveLeadership) {
+  StartThree();
+  ASSERT_TRUE(Propose("a"));
+  const std::string leader = Leader();
+  const std::string target = Follower(leader);
+  ASSERT_TRUE(client_.Call(leader, group_, Op::TransferLeader,
+                           Change(target == "k1" ? 1 : 2, "")));
+  EXPECT_TRUE(
+      WaitFor([&] { return keepers_[target].host->led_groups() == 1; }));
+  EXPECT_TRUE(WaitFor([&] {
+    keepers_[target].host->HandOver();
+    return keepers_[target].host->led_groups() == 0;
+  }));
+  EXPECT_TRUE(WaitFor([&] { return Propose("b").ok(); }));
+}
+
+// Guards against state that is lost or applied twice over a restart with a
+// compacted log.
+TEST_F(KeeperHostTest, AllKeepersRestart_StateAndBackupAreWhole) {
+  snapshot_entries_ = 16;
+  StartThree();
+  std::string expected;
+  for (int i = 0; i < 100; ++i) {
+    ASSERT_TRUE(Propose("c" + std::to_string(i)));
+    expected += "c" + std::to_string(i) + ";";
+  }
+  for (const Member& member : initial_) {
+    Stop(member.node);
+  }
+  for (const Member& member : initial_) {
+    Start(member.node, member.id);
+  }
+  EXPECT_TRUE(WaitFor([&] {
+    const auto state = client_.Call(Leader(), group_, Op::Query);
+    return state && *state == expected;
+  }));
+  const auto backup = client_.Call(Leader(), group_, Op::Backup);
+  ASSERT_TRUE(backup);
+  const auto snapshot = DecodeSnapshotFile(*backup);
+  ASSERT_TRUE(snapshot);
+  EXPECT_EQ(snapshot->data, expected);
+  EXPECT_EQ(snapshot->meta.config.members, initial_);
+}
+
+class KeeperHostControlTest : public KeeperHostTest {
+ protected:
+  KeeperHostControlTest() { group_ = kControlGroup; }
+
+  static std::string Poll(const std::string& node, uint64_t version) {
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(
+        fb::CreateControlPoll(builder, builder.CreateString(node), version, 0));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+            builder.GetSize()};
+  }
+};
+
+// Guards against a configuration that reaches nodes only by their next poll,
+// and against reports of nodes that polled a follower being lost.
+TEST_F(KeeperHostControlTest, AcceptedNote_IsPushedPolledAndReported) {
+  StartThree();
+  const std::string leader = Leader();
+  const ReleaseNote note = {1, "op",
+                            R"({"added": [{"kind": "model", "name": "m"}]})"};
+  const auto result = Propose(control_codec::Encode(note));
+  ASSERT_TRUE(result);
+  ASSERT_TRUE(control_codec::DecodeNote(*result))
+      << control_codec::DecodeNote(*result).refusal().message;
+  EXPECT_TRUE(WaitFor([&] { return client_.pushed_version() == 1; }));
+  const std::string follower = Follower(leader);
+  EXPECT_TRUE(WaitFor([&] {
+    const auto polled =
+        client_.Call(follower, group_, Op::ControlPoll, Poll("e1", 0));
+    const auto view = control_codec::DecodeView(*polled);
+    return view && view->version == 1 && view->items.contains("model/m");
+  }));
+  client_.Call(follower, group_, Op::ControlPoll, Poll("e1", 1));
+  EXPECT_TRUE(WaitFor([&] {
+    const auto versions = client_.Call(leader, group_, Op::NodeVersions);
+    if (!versions) {
+      return false;
+    }
+    const auto* nodes =
+        flatbuffers::GetRoot<fb::NodeVersions>(versions->data())->nodes();
+    return nodes->size() == 1 && nodes->Get(0)->node()->str() == "e1" &&
+           nodes->Get(0)->version() == 1;
+  }));
+}
+
+}  // namespace
+}  // namespace ring
