Fix the lifetime in the keeper fixture and test expiry

The restart test found no leader because the fixture destroyed a host before the supervisor whose wake functions refer to it; the host itself restarts correctly. Faults and counts of the fixture's disks are atomic, since tests change them while keepers run.

--- a/tests/keeper_host_fixture.h
+++ b/tests/keeper_host_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -17,17 +18,21 @@
 
 namespace ring {
 
-/// Joins all commands with ';'.
+/// Joins all commands with ';' and counts the periodic expiry apart.
 class JoinMachine final : public StateMachineI {
  public:
   std::string Apply(uint64_t index,
                     int64_t /*time_ms*/,
                     std::string_view command) override {
+    if (command == program_codec::EncodeExpire()) {
+      ++expiries_;
+      return "";
+    }
     state_ += std::string(command) + ";";
     return std::to_string(index) + ":" + std::string(command);
   }
-  std::string Query(std::string_view /*query*/) const override {
-    return state_;
+  std::string Query(std::string_view query) const override {
+    return query == "expiries" ? std::to_string(expiries_) : state_;
   }
   std::string Save() const override { return state_; }
   Status Load(std::string_view snapshot) override {
@@ -37,35 +42,54 @@
 
  private:
   std::string state_;
+  int expiries_ = 0;
+};
+
+/// Faults and counts of the disks of one keeper.
+struct DiskControl {
+  std::atomic<bool> failing{false};
+  std::atomic<int64_t> sync_ms{0};  ///< Time that a sync takes.
+  std::atomic<int64_t> syncs{0};
 };
 
-/// Disk whose syncs take a while, so that requests pile up.
-class SlowDisk final : public DiskI {
+/// Fake disk that a test controls while a keeper uses it.
+class ControlledDisk final : public DiskI {
  public:
-  SlowDisk(std::shared_ptr<FakeDisk::Medium> medium, int64_t sync_ms)
-      : disk_(std::move(medium)), sync_ms_(sync_ms) {}
+  ControlledDisk(std::shared_ptr<FakeDisk::Medium> medium,
+                 std::shared_ptr<DiskControl> control)
+      : disk_(std::move(medium)), control_(std::move(control)) {}
   Outcome<std::vector<std::string>> List() override { return disk_.List(); }
   Outcome<std::string> Read(const std::string& name) override {
     return disk_.Read(name);
   }
   Status Append(const std::string& name, std::string_view bytes) override {
-    return disk_.Append(name, bytes);
+    return control_->failing ? Failure() : disk_.Append(name, bytes);
   }
   Status Sync(const std::string& name) override {
-    std::this_thread::sleep_for(std::chrono::milliseconds(sync_ms_));
+    if (control_->failing) {
+      return Failure();
+    }
+    ++control_->syncs;
+    std::this_thread::sleep_for(std::chrono::milliseconds(control_->sync_ms));
     return disk_.Sync(name);
   }
   Status Replace(const std::string& name, std::string_view bytes) override {
-    return disk_.Replace(name, bytes);
+    return control_->failing ? Failure() : disk_.Replace(name, bytes);
   }
   Status Truncate(const std::string& name, uint64_t size) override {
-    return disk_.Truncate(name, size);
+    return control_->failing ? Failure() : disk_.Truncate(name, size);
+  }
+  Status Remove(const std::string& name) override {
+    return control_->failing ? Failure() : disk_.Remove(name);
   }
-  Status Remove(const std::string& name) override { return disk_.Remove(name); }
 
  private:
+  static Status Failure() {
+    return Refusal{Reason::kStorageFailed, RunState::kNotRun, "scripted fault"};
+  }
+
   FakeDisk disk_;
-  const int64_t sync_ms_;
+  const std::shared_ptr<DiskControl> control_;
 };
 
 /// Entry that sends keeper requests.
@@ -160,6 +184,7 @@
  protected:
   struct Keeper {
     std::map<std::string, std::shared_ptr<FakeDisk::Medium>> media;
+    std::shared_ptr<DiskControl> control = std::make_shared<DiskControl>();
     std::unique_ptr<KeeperHost> host;
     std::unique_ptr<FakeHub> hub;
     std::unique_ptr<Supervisor> supervisor;
@@ -200,7 +225,7 @@
         medium = std::make_shared<FakeDisk::Medium>();
       }
       return std::unique_ptr<DiskI>(
-          std::make_unique<SlowDisk>(medium, sync_ms_));
+          std::make_unique<ControlledDisk>(medium, keepers_[node].control));
     };
     return init;
   }
@@ -223,7 +248,7 @@
     Keeper& keeper = keepers_[node];
     if (keeper.host) {
       net_.Remove(node);
-      keeper.supervisor->Stop();
+      keeper.supervisor.reset();  // Its duties refer to the host.
       keeper.host.reset();
     }
   }
@@ -272,6 +297,12 @@
     return client_.Call(Leader(), group_, fb::KeeperOp::Propose, command);
   }
 
+  void SetSyncMs(int64_t sync_ms) {
+    for (auto& [node, keeper] : keepers_) {
+      keeper.control->sync_ms = sync_ms;
+    }
+  }
+
   std::string LocalState(const std::string& node) {
     const auto state = client_.Call(node, group_, fb::KeeperOp::QueryLocal);
     return state ? *state : "";
@@ -287,7 +318,6 @@
 
   std::string group_ = kGroup;
   std::vector<Member> initial_;
-  int64_t sync_ms_ = 0;
   size_t max_pending_ = 1'000;
   uint64_t snapshot_entries_ = 20'000;
   FakeNet net_;
--- a/tests/keeper_host_test.cc
+++ b/tests/keeper_host_test.cc
@@ -37,12 +37,12 @@
 
 // Guards against one sync for each entry.
 TEST_F(KeeperHostTest, ProposalsThatWait_ShareSyncs) {
-  sync_ms_ = 5;
   StartThree();
+  SetSyncMs(5);
   const std::string leader = Leader();
   ASSERT_TRUE(Propose("first"));
-  const auto& medium = keepers_[leader].media["data/salem"];
-  const int64_t before = medium->syncs;
+  const DiskControl& disk = *keepers_[leader].control;
+  const int64_t before = disk.syncs;
   std::vector<uint64_t> sent;
   for (int i = 0; i < 300; ++i) {
     sent.push_back(client_.Send(leader, group_, Op::Propose, "x"));
@@ -50,15 +50,15 @@
   for (const uint64_t correlation : sent) {
     EXPECT_TRUE(client_.Wait(correlation));
   }
-  EXPECT_LT(medium->syncs - before, 60);
+  EXPECT_LT(disk.syncs - before, 60);
 }
 
 // Guards against an unbounded queue, and against a proposal that runs although
 // it was refused.
 TEST_F(KeeperHostTest, TooManyRequests_AreRefusedQueueFullNotRun) {
-  sync_ms_ = 20;
   max_pending_ = 8;
   StartThree();
+  SetSyncMs(20);
   const std::string leader = Leader();
   ASSERT_TRUE(Propose("first"));
   const Labels labels = {{"reason", "queue_full"}};
@@ -113,9 +113,7 @@
   StartThree();
   const std::string leader = Leader();
   ASSERT_TRUE(Propose("a"));
-  auto& medium = *keepers_[leader].media["data/salem"];
-  medium.fail_after_too = true;
-  medium.fail_at = 1;
+  keepers_[leader].control->failing = true;
   const auto failed = client_.Call(leader, group_, Op::Propose, "b");
   ASSERT_FALSE(failed);
   EXPECT_EQ(failed.refusal().run_state, RunState::kUnknown);
@@ -124,8 +122,7 @@
   EXPECT_EQ(refused.refusal().run_state, RunState::kNotRun);
   const std::string next = Leader(leader);
   ASSERT_TRUE(client_.Call(next, group_, Op::Propose, "d"));
-  medium.fail_at = 0;
-  medium.fail_after_too = false;
+  keepers_[leader].control->failing = false;
   const std::string state = *client_.Call(next, group_, Op::Query);
   EXPECT_NE(state.find("d;"), std::string::npos);
   EXPECT_TRUE(WaitFor([&] { return LocalState(leader) == state; }));
@@ -225,6 +222,18 @@
   EXPECT_EQ(snapshot->meta.config.members, initial_);
 }
 
+// Guards against programs that outlive their deadline because no caller comes.
+TEST_F(KeeperHostTest, LeaderOfProgramGroup_ProposesExpiryEachSecond) {
+  StartThree();
+  const int64_t start_ms = SystemClock().NowMs();
+  EXPECT_TRUE(WaitFor([&] {
+    const auto count =
+        client_.Call(Leader(), group_, Op::QueryLocal, "expiries");
+    return count && *count == "3";
+  }));
+  EXPECT_GE(SystemClock().NowMs() - start_ms, 2'000);
+}
+
 class KeeperHostControlTest : public KeeperHostTest {
  protected:
   KeeperHostControlTest() { group_ = kControlGroup; }
