--- a/apps/ringctl/entry_commands.cc
+++ b/apps/ringctl/entry_commands.cc
@@ -43,8 +43,9 @@
   };
   const auto result = client.send(request);
   if (!result) {
-    return Refusal{Reason::kOwnerUnreachable, RunState::kNotRun,
-                   address + ": " + httplib::to_string(result.error())};
+    return Refusal{
+        Reason::kOwnerUnreachable, RunState::kNotRun,
+        address + " cannot be reached: " + httplib::to_string(result.error())};
   }
   json answer = json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (result->status != 200 || answer.is_discarded()) {
