Keep programs within the caches and near their prefixes

In a replay of the ringfake engine model the first form of the program policy left cached prefixes too easily, since entries count whole prompts as pending prefill, and admitted programs until the caches were thrashed. Pending prefill now has weight 0, first calls need room in the cache, and admission judges a program by its least time. Prefix imports are off until entries carry them out.

--- a/fakes/ringload/scenario.h
+++ b/fakes/ringload/scenario.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cmath>
 #include <cstdint>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -47,16 +49,141 @@
   bool services = false;
 };
 
+namespace detail {
+
+// Ranges of one kind of program. Times are scaled down with the stand-ins.
+struct Shape {
+  const char* kind;
+  int64_t calls_min, calls_max;
+  int64_t first_tokens_min, first_tokens_max;
+  int64_t turn_tokens_min, turn_tokens_max;
+  int64_t answer_min, answer_max;
+  int64_t pause_min_ms, pause_max_ms;
+  double child_share;
+  double service_share;
+};
+
+inline constexpr Shape kStockCheck = {
+    "stock_check", 2, 4, 100, 300, 20, 80, 8, 24, 10, 60, 0, 0};
+inline constexpr Shape kWallPlanning = {
+    "wall_planning", 10, 30, 400, 1'200, 40, 160, 16, 48, 20, 120, 0.3, 0.5};
+inline constexpr Shape kPricing = {"pricing", 2,  3, 100, 200, 20, 60,
+                                   8,         16, 5, 20,  0,   0};
+inline constexpr Shape kPlanner = {"planner", 4,  8,  300, 900, 40, 120,
+                                   16,        32, 20, 100, 0,   0.3};
+inline constexpr Shape kDiagnosis = {
+    "diagnosis", 20, 40, 1'000, 3'000, 100, 300, 16, 32, 20, 100, 0, 0.3};
+
+inline bool Draw(Rng& rng, double share) {
+  return std::uniform_real_distribution<>(0, 1)(rng) < share;
+}
+
+inline std::vector<Step> DrawSteps(const Shape& shape,
+                                   bool services,
+                                   Rng& rng) {
+  std::vector<Step> steps(
+      static_cast<size_t>(UniformMs(rng, shape.calls_min, shape.calls_max)));
+  for (Step& step : steps) {
+    const bool first = &step == &steps.front();
+    step.pause_ms =
+        first ? 0 : UniformMs(rng, shape.pause_min_ms, shape.pause_max_ms);
+    step.new_tokens =
+        first ? UniformMs(rng, shape.first_tokens_min, shape.first_tokens_max)
+              : UniformMs(rng, shape.turn_tokens_min, shape.turn_tokens_max);
+    step.answer_tokens = UniformMs(rng, shape.answer_min, shape.answer_max);
+  }
+  // Drawn in any case, so that the option for services changes nothing else.
+  const bool service = Draw(rng, shape.service_share);
+  const bool child = Draw(rng, shape.child_share);
+  steps.back().service_call = service && services;
+  steps[steps.size() / 2].opens_child = child;
+  return steps;
+}
+
+inline double StepMs(const Step& step,
+                     double decode_ms,
+                     double prefill_per_ms) {
+  return static_cast<double>(step.answer_tokens) * decode_ms +
+         static_cast<double>(step.new_tokens) / prefill_per_ms;
+}
+
+// Time of the whole program without waiting, in a half full batch.
+inline double AloneMs(const Plan& plan, const EngineModel& engines) {
+  const double decode_ms =
+      engines.decode_base_ms +
+      engines.decode_per_sequence_ms * engines.max_batch / 2;
+  double sum = 0;
+  for (const auto* steps : {&plan.steps, &plan.child}) {
+    for (const Step& step : *steps) {
+      sum += static_cast<double>(step.pause_ms) +
+             StepMs(step, decode_ms, engines.prefill_tokens_per_ms);
+    }
+  }
+  return sum;
+}
+
+}  // namespace detail
+
 /// @returns a program of the scenario, without arrival
-Plan DrawPlan(const ScenarioInit& init, const EngineModel& engines, Rng& rng);
+inline Plan DrawPlan(const ScenarioInit& init,
+                     const EngineModel& engines,
+                     Rng& rng) {
+  const bool zarqa = init.name == "zarqa";
+  const bool is_long = detail::Draw(rng, zarqa ? 0.6 : 0.25);
+  const detail::Shape& shape =
+      zarqa ? (is_long ? detail::kDiagnosis : detail::kPlanner)
+            : (is_long ? detail::kWallPlanning : detail::kStockCheck);
+  Plan plan{.kind = shape.kind, .seed = rng()};
+  plan.steps = detail::DrawSteps(shape, init.services, rng);
+  for (const Step& step : plan.steps) {
+    if (step.opens_child) {
+      plan.child = detail::DrawSteps(detail::kPricing, false, rng);
+    }
+  }
+  plan.deadline_ms =
+      std::llround(init.deadline_factor * detail::AloneMs(plan, engines));
+  return plan;
+}
 
 /// @returns all programs in order of arrival (Poisson process)
-std::vector<Plan> DrawPlans(const ScenarioInit& init,
-                            const EngineModel& engines);
+inline std::vector<Plan> DrawPlans(const ScenarioInit& init,
+                                   const EngineModel& engines) {
+  Rng rng(init.seed);
+  std::exponential_distribution<> gap_s(init.programs_per_s);
+  std::vector<Plan> plans;
+  double at_ms = 0;
+  while (true) {
+    constexpr double kMsPerSecond = 1'000;
+    at_ms += gap_s(rng) * kMsPerSecond;
+    if (at_ms >= static_cast<double>(init.duration_ms)) {
+      return plans;
+    }
+    plans.push_back(DrawPlan(init, engines, rng));
+    plans.back().arrival_ms = std::llround(at_ms);
+  }
+}
 
 /// Capacity with full batches and every prefix cached: an upper bound, which no
 /// placement reaches.
 /// @returns programs per second of all engines together
-double CapacityPerSecond(const ScenarioInit& init, const EngineModel& engines);
+inline double CapacityPerSecond(const ScenarioInit& init,
+                                const EngineModel& engines) {
+  // Own seed: the capacity must not depend on the seed of a run.
+  Rng rng(1);
+  constexpr int kSamples = 2'000;
+  const double batch_ms = engines.decode_base_ms +
+                          engines.decode_per_sequence_ms * engines.max_batch;
+  double engine_ms = 0;
+  for (int i = 0; i < kSamples; ++i) {
+    const Plan plan = DrawPlan(init, engines, rng);
+    for (const auto* steps : {&plan.steps, &plan.child}) {
+      for (const Step& step : *steps) {
+        engine_ms += detail::StepMs(step, batch_ms / engines.max_batch,
+                                    engines.prefill_tokens_per_ms);
+      }
+    }
+  }
+  return static_cast<double>(engines.engines) * 1'000 * kSamples / engine_ms;
+}
 
 }  // namespace ring::load
--- a/include/persimmonring/policy.h
+++ b/include/persimmonring/policy.h
@@ -136,11 +136,24 @@
   /// Share of an engine's best throughput that its gate keeps. The gate is the
   /// smallest batch that reaches this share; 1 disables it.
   double gate_throughput = 0.95;
+  /// Share of the expected remaining calls that must fit before the deadline.
+  /// The expectation is a mean over all programs; most are shorter.
+  double remaining_share = 0.1;
+  /// First calls start on an engine only up to this share of its cache, so that
+  /// programs under way can grow without losing their prefixes.
+  double cache_fill = 0.8;
+  /// Expected growth of a new program's prompt, as a factor.
+  double prompt_growth = 2;
+  /// Weight of prefill that is pending on an engine. Below 1, because entries
+  /// count whole prompts, of which most tokens are cached.
+  double pending_prefill_weight = 0;
+  /// Weight of the time that a call costs the others in its batch.
+  double others_weight = 0;
   /// Weight of attained service against slack in the order of service.
   double attained_weight = 0.5;
   /// Speed and fixed cost of moving a cached prefix between two engines of a
-  /// region.
-  double import_tokens_per_ms = 40;
+  /// region. Speed 0: prefixes are not moved.
+  double import_tokens_per_ms = 0;
   int64_t import_fixed_ms = 20;
   /// Cost of a call to another region beyond its time, because the link between
   /// regions is narrow and billed by the byte.
--- a/src/policy_estimate.cc
+++ b/src/policy_estimate.cc
@@ -9,8 +9,9 @@
 // Estimates from few completions can reach zero; a division needs a floor.
 constexpr double kMinRate = 1e-3;
 
-// Used while nothing is known about the work in flight.
-constexpr double kUnknownSlotMs = 50;
+// An engine with less than this share of its gate in flight takes new programs
+// even if its cache looks full, because cache that nobody uses is evicted.
+constexpr double kIdleShare = 0.25;
 
 // Throughput of a batch b is b / (alone + slope * b). Solves for the smallest b
 // that reaches the given share of the throughput at the limit.
@@ -26,17 +27,6 @@
   return std::clamp(gate, 1, view.limit);
 }
 
-// With n requests in flight that have r milliseconds left on average, and
-// evenly spread ends, the first ends after 2 * r / (n + 1).
-double SlotMsOf(const UpstreamView& view) {
-  if (view.own_in_flight <= 0 || view.pending_decode_tokens <= 0) {
-    return kUnknownSlotMs;
-  }
-  const double left_ms = static_cast<double>(view.pending_decode_tokens) /
-                         view.own_in_flight * view.decode_ms_per_token;
-  return 2 * left_ms / (view.own_in_flight + 1);
-}
-
 }  // namespace
 
 UpstreamModel::UpstreamModel(const UpstreamView& view, const PolicyInit& init)
@@ -46,15 +36,22 @@
       other_(view.other_in_flight),
       prefill_ms_per_token_(1 / std::max(view.prefill_tokens_per_ms, kMinRate)),
       slope_ms_(std::max(view.decode_slope_ms, 0.0)),
-      slot_ms_(SlotMsOf(view)),
+      left_tokens_(static_cast<double>(view.pending_decode_tokens) /
+                   std::max(view.own_in_flight, 1)),
       bounded_cache_(view.cache_capacity_tokens > 0),
-      cache_free_tokens_(view.cache_capacity_tokens - view.cache_used_tokens) {
+      cache_free_tokens_(view.cache_capacity_tokens - view.cache_used_tokens),
+      reserved_tokens_((1 - init.cache_fill) *
+                       static_cast<double>(view.cache_capacity_tokens)),
+      prompt_growth_(init.prompt_growth),
+      pending_weight_(init.pending_prefill_weight),
+      others_weight_(init.others_weight) {
   const double batch = own_ + other_;
   alone_ms_per_token_ =
       std::max(view.decode_ms_per_token - slope_ms_ * batch, kMinRate);
   gate_ = GateOf(view, alone_ms_per_token_, init.gate_throughput);
-  base_ms_ = static_cast<double>(view.round_trip_ms) +
-             PrefillMs(view.pending_prefill_tokens);
+  base_ms_ =
+      static_cast<double>(view.round_trip_ms) +
+      init.pending_prefill_weight * PrefillMs(view.pending_prefill_tokens);
   if (link_ == LinkClass::kOtherRegion) {
     base_ms_ += static_cast<double>(init.other_region_cost_ms);
   }
@@ -67,8 +64,27 @@
          static_cast<double>(output_tokens) * decode_ms;
 }
 
-double UpstreamModel::WaitMs() const {
-  return HasRoom() ? 0 : slot_ms_ * (waiters_ + 1);
+// With n requests in flight that have r milliseconds left on average, and
+// evenly spread ends, the first ends after 2 * r / (n + 1). A request that is
+// half done on average has at most half its output left; pending_decode_tokens
+// can count the largest allowed output instead.
+double UpstreamModel::WaitMs(int64_t output_tokens) const {
+  if (HasRoom()) {
+    return 0;
+  }
+  const double left_tokens =
+      std::min(left_tokens_, static_cast<double>(output_tokens) / 2);
+  const double left_ms =
+      left_tokens * (alone_ms_per_token_ + slope_ms_ * batch());
+  return 2 * left_ms / (own_ + 1) * (waiters_ + 1);
+}
+
+bool UpstreamModel::FitsProgram(int64_t prompt_tokens) const {
+  if (!bounded_cache_ || batch() < kIdleShare * gate_) {
+    return true;
+  }
+  return static_cast<double>(cache_free_tokens_) - reserved_tokens_ >=
+         prompt_growth_ * static_cast<double>(prompt_tokens);
 }
 
 double UpstreamModel::EvictionMs(int64_t new_tokens) const {
@@ -79,9 +95,18 @@
   return PrefillMs(std::max<int64_t>(new_tokens - room, 0));
 }
 
+// A step computes a chunk of prompts and a token of each sequence, so that
+// prefill delays all sequences, and each sequence slows the others.
+double UpstreamModel::OthersMs(int64_t uncached_tokens,
+                               int64_t output_tokens) const {
+  return others_weight_ * batch() *
+         (PrefillMs(uncached_tokens) +
+          slope_ms_ * static_cast<double>(output_tokens));
+}
+
 void UpstreamModel::Take(int64_t uncached_tokens, int64_t output_tokens) {
   ++own_;
-  base_ms_ += PrefillMs(uncached_tokens);
+  base_ms_ += pending_weight_ * PrefillMs(uncached_tokens);
   cache_free_tokens_ -= uncached_tokens + output_tokens;
 }
 
--- a/src/policy_estimate_p.h
+++ b/src/policy_estimate_p.h
@@ -33,12 +33,19 @@
   double PrefillMs(int64_t tokens) const {
     return static_cast<double>(tokens) * prefill_ms_per_token_;
   }
+  /// @param output_tokens expected tokens of a typical call
   /// @returns expected milliseconds until a slot is free for one more waiter
-  double WaitMs() const;
+  double WaitMs(int64_t output_tokens) const;
   /// @param new_tokens tokens that the call adds to the cache
   /// @returns milliseconds of prefill that other programs lose by eviction
   double EvictionMs(int64_t new_tokens) const;
 
+  /// @returns milliseconds by which the call delays the others in its batch
+  double OthersMs(int64_t uncached_tokens, int64_t output_tokens) const;
+  /// @param prompt_tokens of the first call of a program
+  /// @returns true if the cache has room for the program beside those under way
+  bool FitsProgram(int64_t prompt_tokens) const;
+
   void Take(int64_t uncached_tokens, int64_t output_tokens);
   void AddWaiter() { ++waiters_; }
   /// Excludes the upstream from further assignments of this decision.
@@ -55,9 +62,13 @@
   double prefill_ms_per_token_;
   double alone_ms_per_token_;  // Decode at batch 0.
   double slope_ms_;
-  double slot_ms_;  // Expected time between two completions.
+  double left_tokens_;  // Mean left of a request in flight, upper bound.
   bool bounded_cache_;
   int64_t cache_free_tokens_;
+  double reserved_tokens_;  // Kept free for programs under way.
+  double prompt_growth_;
+  double pending_weight_;
+  double others_weight_;
 };
 
 }  // namespace ring
--- a/src/policy_placement.cc
+++ b/src/policy_placement.cc
@@ -35,6 +35,10 @@
   return model.FinishMs(kTypicalPromptTokens, kTypicalOutputTokens);
 }
 
+double TypicalWaitMs(const UpstreamModel& model) {
+  return model.WaitMs(kTypicalOutputTokens);
+}
+
 }  // namespace
 
 Placer::Placer(const PolicyInput& input, const PolicyInit& init)
@@ -80,7 +84,8 @@
     group.with_room.push_back(handle);
   } else if (model.link() != LinkClass::kOtherRegion &&
              (!isValid(group.shortest_wait) ||
-              model.WaitMs() < models_[group.shortest_wait.index].WaitMs())) {
+              TypicalWaitMs(model) <
+                  TypicalWaitMs(models_[group.shortest_wait.index]))) {
     group.shortest_wait = handle;
   }
 }
@@ -139,13 +144,15 @@
     ConsiderImport(call, option);
   }
   option.cost_ms =
-      model.WaitMs() + option.finish_ms +
+      model.WaitMs(call.expected_output_tokens) + option.finish_ms +
+      model.OthersMs(option.uncached_tokens, call.expected_output_tokens) +
       model.EvictionMs(option.uncached_tokens + call.expected_output_tokens);
   return option;
 }
 
 void Placer::ConsiderImport(const CallView& call, Option& option) const {
-  if (models_[option.upstream.index].link() == LinkClass::kOtherRegion) {
+  if (init_.import_tokens_per_ms <= 0 ||
+      models_[option.upstream.index].link() == LinkClass::kOtherRegion) {
     return;
   }
   const UpstreamModel& target = models_[option.upstream.index];
@@ -179,6 +186,10 @@
       continue;
     }
     group.with_room[kept++] = handle;
+    if (call.first_call &&
+        !models_[handle.index].FitsProgram(call.prompt_tokens)) {
+      continue;
+    }
     const Option option = Evaluate(call, handle);
     if (!best || IsBetter(option, *best)) {
       best = option;
--- a/src/policy_program.cc
+++ b/src/policy_program.cc
@@ -18,11 +18,6 @@
 // once, because each attempt costs the entry a request.
 constexpr int64_t kMinRetryMs = 50;
 
-// Share of the expected remaining calls that a program under way must still
-// have time for. The expectation comes from statistics; a program that is
-// shorter than usual must not be refused late in its life.
-constexpr double kSureRemainingShare = 0.5;
-
 // A waiting call with what the order of service needs.
 struct Waiting {
   const CallView* call = nullptr;
@@ -145,10 +140,14 @@
     }
   }
 
+  // Least time of the rest of the program. Leaves out the prefill of the first
+  // prompt: entries estimate prefill rates from the time to the first token,
+  // which includes waits, and a doubtful program is better tried than refused.
   double ChainMs(const Waiting& waiting) const {
-    const CallView& call = *waiting.call;
-    return placer_.CallMs(call, *waiting.group, 0) +
-           static_cast<double>(call.expected_remaining_calls) * waiting.call_ms;
+    return waiting.call_ms *
+           (1.0 +
+            init_.remaining_share *
+                static_cast<double>(waiting.call->expected_remaining_calls));
   }
 
   // Time until the calls ahead of this one have been served: those of programs
@@ -166,13 +165,8 @@
 
   bool IsLost(const Waiting& waiting) const {
     const CallView& call = *waiting.call;
-    if (call.deadline_ms <= 0) {
-      return false;
-    }
-    const double calls =
-        1.0 + kSureRemainingShare *
-                  static_cast<double>(call.expected_remaining_calls);
-    return calls * waiting.call_ms > static_cast<double>(TimeLeftMs(call));
+    return call.deadline_ms > 0 &&
+           ChainMs(waiting) > static_cast<double>(TimeLeftMs(call));
   }
 
   bool TryPlace(const Waiting& waiting) {
--- a/tests/policy_decision_test.cc
+++ b/tests/policy_decision_test.cc
@@ -89,6 +89,7 @@
     {"a long prefix is computed again although a transfer is cheaper",
      "program", 1,
      [](PolicyInput& input) {
+       input.queue[0].expected_output_tokens = 2'000;
        input.upstreams[0].own_in_flight = 4;
        input.upstreams[0].pending_decode_tokens = 4'000;
        input.queue[0].prompt_tokens = 40'000;
@@ -97,6 +98,7 @@
      "1@1<0"},
     {"a prefix is imported over the link between regions", "program", 1,
      [](PolicyInput& input) {
+       input.queue[0].expected_output_tokens = 2'000;
        input.upstreams[0].own_in_flight = 4;
        input.upstreams[0].pending_decode_tokens = 40'000;
        input.upstreams[0].link = LinkClass::kOtherRegion;
@@ -112,6 +114,7 @@
      "1@0"},
     {"another region is never used", "program", 1,
      [](PolicyInput& input) {
+       input.queue[0].expected_output_tokens = 2'000;
        input.upstreams[0].own_in_flight = 4;
        input.upstreams[0].pending_decode_tokens = 4'000;
        input.upstreams[1].link = LinkClass::kOtherRegion;
@@ -255,7 +258,7 @@
   for (const Row& row : kRows) {
     PolicyInput input = TwoUpstreams(row.calls);
     row.change(input);
-    const auto policy = CreatePolicy(row.policy, {});
+    const auto policy = CreatePolicy(row.policy, {.import_tokens_per_ms = 40});
     EXPECT_EQ(Describe(policy->Decide(input)), row.decision)
         << "guards against: " << row.guards_against;
   }
--- /dev/null
+++ b/tests/policy_replay.h
@@ -0,0 +1,426 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <vector>
+
+#include "fakes/ringload/scenario.h"
+#include "persimmonring/policy.h"
+
+/// Replays programs on a few engines in virtual time, to compare decisions
+/// without processes and without noise. The engine is that of ringfake: steps
+/// of base + n * per_sequence + prefill chunk, and a prefix cache with
+/// least-recently-used eviction. One entry; no network, failures or children.
+namespace ring::replay {
+
+struct ReplayInit {
+  load::ScenarioInit scenario;
+  load::EngineModel engines;
+  int64_t cache_tokens = 60'000;
+  double prefill_chunk = 512;
+};
+
+struct ReplayResult {
+  size_t started = 0;
+  int64_t in_time = 0;
+  int64_t refusals = 0;
+  std::map<Reason, int64_t> reasons;
+  double p95_ms = 0;
+  double median_ms = 0;
+  int64_t computed_tokens = 0;
+  int64_t recomputed_tokens = 0;
+};
+
+struct Run {
+  load::Plan plan;
+  uint64_t key = 0;
+  size_t step = 0;
+  int64_t history = 0;  // Tokens after the last answer.
+  double service_ms = 0;
+  int64_t computed = 0;
+  int64_t longest = 0;
+  double call_arrival_ms = 0;
+  std::map<uint16_t, int64_t> cached;  // As the entry believes.
+};
+
+struct Job {
+  Run* run = nullptr;
+  int64_t prompt = 0;
+  int64_t output = 0;
+  int64_t cached = 0;
+  double prefill_left = 0;
+  int64_t produced = 0;
+  double sent_ms = 0;
+  double first_token_ms = -1;
+};
+
+class Engine {
+ public:
+  Engine(const ReplayInit& init) : init_(init) {}
+
+  void Submit(const Job& job) { waiting_.push_back(job); }
+  bool idle() const { return running_.empty(); }
+
+  /// Admits jobs and begins a step.
+  /// @returns its length, or 0 if nothing runs
+  double Begin() {
+    while (!waiting_.empty() &&
+           static_cast<double>(running_.size()) < init_.engines.max_batch &&
+           Admit(waiting_.front())) {
+      waiting_.pop_front();
+    }
+    if (running_.empty()) {
+      return 0;
+    }
+    double left = init_.prefill_chunk;
+    size_t ready = 0;
+    for (Job& job : running_) {
+      ready += job.prefill_left <= 0 ? 1 : 0;
+      job.produced += job.prefill_left <= 0 ? 1 : 0;
+      const double part = std::min(left, job.prefill_left);
+      job.prefill_left -= part;
+      left -= part;
+    }
+    const double decode = ready == 0
+                              ? 0
+                              : init_.engines.decode_base_ms +
+                                    init_.engines.decode_per_sequence_ms *
+                                        static_cast<double>(ready);
+    return decode +
+           (init_.prefill_chunk - left) / init_.engines.prefill_tokens_per_ms;
+  }
+
+  /// Ends the step.
+  /// @returns jobs that are complete
+  std::vector<Job> End(double now_ms) {
+    std::vector<Job> done;
+    for (Job& job : running_) {
+      if (job.produced > 0 && job.first_token_ms < 0) {
+        job.first_token_ms = now_ms;
+      }
+      if (job.produced >= job.output) {
+        done.push_back(job);
+        Entry& entry = cache_[job.run->key];
+        entry.pinned = false;
+        entry.used_at = ++clock_;
+      }
+    }
+    std::erase_if(running_,
+                  [](const Job& job) { return job.produced >= job.output; });
+    return done;
+  }
+
+  void Release(uint64_t key) {
+    const auto found = cache_.find(key);
+    if (found != cache_.end()) {
+      used_ -= found->second.tokens;
+      cache_.erase(found);
+    }
+  }
+
+  int64_t used() const { return used_; }
+  size_t load() const { return running_.size() + waiting_.size(); }
+  template <typename Function>
+  void ForEach(Function function) const {
+    std::for_each(running_.begin(), running_.end(), function);
+    std::for_each(waiting_.begin(), waiting_.end(), function);
+  }
+
+ private:
+  struct Entry {
+    int64_t tokens = 0;
+    bool pinned = false;
+    uint64_t used_at = 0;
+  };
+
+  bool Admit(Job job) {
+    Entry& entry = cache_[job.run->key];
+    job.cached = std::min(entry.tokens, job.prompt - 1);
+    entry.pinned = true;
+    const int64_t grown = job.prompt + job.output;
+    while (used_ - entry.tokens + grown > init_.cache_tokens && Evict()) {
+    }
+    used_ += grown - entry.tokens;
+    entry.tokens = grown;
+    job.prefill_left = static_cast<double>(job.prompt - job.cached);
+    job.run->computed += job.prompt - job.cached;
+    job.run->longest = std::max(job.run->longest, job.prompt);
+    running_.push_back(job);
+    return true;
+  }
+
+  bool Evict() {
+    auto victim = cache_.end();
+    for (auto it = cache_.begin(); it != cache_.end(); ++it) {
+      if (!it->second.pinned && it->second.tokens > 0 &&
+          (victim == cache_.end() ||
+           it->second.used_at < victim->second.used_at)) {
+        victim = it;
+      }
+    }
+    if (victim == cache_.end()) {
+      return false;
+    }
+    used_ -= victim->second.tokens;
+    cache_.erase(victim);
+    return true;
+  }
+
+  const ReplayInit& init_;
+  std::deque<Job> waiting_;
+  std::vector<Job> running_;
+  std::map<uint64_t, Entry> cache_;
+  int64_t used_ = 0;
+  uint64_t clock_ = 0;
+};
+
+/// What an entry estimates about one engine.
+struct Estimate {
+  double prefill_tokens_per_ms = 8;
+  double decode_ms_per_token = 20;
+  int64_t cache_used = 0;  // Reported, lags by up to a second.
+
+  void OnDone(const Job& job, double now_ms) {
+    constexpr double kWeight = 0.2;
+    const auto computed = static_cast<double>(job.prompt - job.cached);
+    prefill_tokens_per_ms +=
+        kWeight * (computed / std::max(job.first_token_ms - job.sent_ms, 1.0) -
+                   prefill_tokens_per_ms);
+    if (job.output > 1) {
+      decode_ms_per_token +=
+          kWeight *
+          ((now_ms - job.first_token_ms) / static_cast<double>(job.output - 1) -
+           decode_ms_per_token);
+    }
+  }
+};
+
+class Replay {
+ public:
+  Replay(const ReplayInit& init, const PolicyI& policy)
+      : init_(init), policy_(policy), rng_(init.scenario.seed) {
+    for (int64_t i = 0; i < init.engines.engines; ++i) {
+      engines_.emplace_back(init_);
+    }
+    estimates_.resize(engines_.size());
+    busy_.resize(engines_.size());
+  }
+
+  ReplayResult Execute() {
+    for (load::Plan& plan : load::DrawPlans(init_.scenario, init_.engines)) {
+      auto run = std::make_unique<Run>();
+      run->key = runs_.size() + 1;
+      run->plan = std::move(plan);
+      Push(static_cast<double>(run->plan.arrival_ms), run.get(), -1);
+      runs_.push_back(std::move(run));
+    }
+    Push(0, nullptr, -1);
+    while (!events_.empty() && (left_ < runs_.size())) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ms_ = event.at_ms;
+      Handle(event);
+    }
+    return Result();
+  }
+
+ private:
+  struct Event {
+    double at_ms;
+    uint64_t number;
+    Run* run;    // Sends its next call.
+    int engine;  // Ends a step; -1 without run: reports load.
+    bool operator<(const Event& other) const {
+      return std::pair(at_ms, number) > std::pair(other.at_ms, other.number);
+    }
+  };
+
+  void Push(double at_ms, Run* run, int engine) {
+    events_.push({at_ms, ++number_, run, engine});
+  }
+
+  void Handle(const Event& event) {
+    if (event.run != nullptr) {
+      event.run->call_arrival_ms = now_ms_;
+      queue_.push_back(event.run);
+    } else if (event.engine >= 0) {
+      const auto index = static_cast<size_t>(event.engine);
+      busy_[index] = false;
+      for (const Job& job : engines_[index].End(now_ms_)) {
+        OnDone(job, index);
+      }
+    } else {
+      for (size_t i = 0; i < engines_.size(); ++i) {
+        estimates_[i].cache_used = engines_[i].used();
+      }
+      Push(now_ms_ + 1'000, nullptr, -1);
+    }
+    Decide();
+    for (size_t i = 0; i < engines_.size(); ++i) {
+      if (!busy_[i]) {
+        const double step_ms = engines_[i].Begin();
+        busy_[i] = step_ms > 0;
+        if (busy_[i]) {
+          Push(now_ms_ + step_ms, nullptr, static_cast<int>(i));
+        }
+      }
+    }
+  }
+
+  void OnDone(const Job& job, size_t index) {
+    estimates_[index].OnDone(job, now_ms_);
+    output_mean_ += 0.2 * (static_cast<double>(job.output) - output_mean_);
+    Run& run = *job.run;
+    run.service_ms += now_ms_ - job.sent_ms;
+    run.history = job.prompt + job.output;
+    run.cached[static_cast<uint16_t>(index)] = run.history;
+    if (++run.step == run.plan.steps.size()) {
+      Leave(run, true);
+      return;
+    }
+    Push(now_ms_ + static_cast<double>(run.plan.steps[run.step].pause_ms), &run,
+         -1);
+  }
+
+  void Leave(Run& run, bool finished) {
+    ++left_;
+    const double latency = now_ms_ - static_cast<double>(run.plan.arrival_ms);
+    if (finished) {
+      latencies_.push_back(latency);
+      calls_mean_ +=
+          0.2 * (static_cast<double>(run.plan.steps.size()) - calls_mean_);
+      result_.in_time +=
+          latency <= static_cast<double>(run.plan.deadline_ms) ? 1 : 0;
+    }
+    for (Engine& engine : engines_) {
+      engine.Release(run.key);
+    }
+  }
+
+  CallView ViewOf(const Run& run) const {
+    const load::Step& step = run.plan.steps[run.step];
+    CallView view{.ticket = run.key, .program = run.key, .root = run.key};
+    view.first_call = run.step == 0;
+    view.arrival_ms = static_cast<int64_t>(run.call_arrival_ms);
+    view.program_start_ms = run.plan.arrival_ms;
+    view.deadline_ms = run.plan.arrival_ms + run.plan.deadline_ms;
+    view.attained_service_ms = static_cast<int64_t>(run.service_ms);
+    view.prompt_tokens = run.history + step.new_tokens;
+    view.expected_output_tokens =
+        std::min(step.answer_tokens + 8, static_cast<int64_t>(output_mean_));
+    view.expected_remaining_calls =
+        std::max<int64_t>(0, static_cast<int64_t>(calls_mean_) -
+                                 static_cast<int64_t>(run.step) - 1);
+    for (uint16_t i = 0; i < engines_.size(); ++i) {
+      view.candidates.push_back({i});
+      const auto found = run.cached.find(i);
+      if (found != run.cached.end()) {
+        view.cached.push_back({{i}, found->second});
+      }
+    }
+    return view;
+  }
+
+  UpstreamView ViewOf(uint16_t index) const {
+    UpstreamView view{.handle = {index}};
+    const Estimate& estimate = estimates_[index];
+    view.limit = static_cast<int32_t>(init_.engines.max_batch);
+    view.own_in_flight = static_cast<int32_t>(engines_[index].load());
+    engines_[index].ForEach([&view](const Job& job) {
+      view.pending_decode_tokens += job.output + 8;
+      view.pending_prefill_tokens += job.first_token_ms < 0 ? job.prompt : 0;
+    });
+    view.cache_capacity_tokens = init_.cache_tokens;
+    view.cache_used_tokens = estimate.cache_used;
+    view.prefill_tokens_per_ms = estimate.prefill_tokens_per_ms;
+    view.decode_ms_per_token = estimate.decode_ms_per_token;
+    return view;
+  }
+
+  void Decide() {
+    if (queue_.empty()) {
+      return;
+    }
+    PolicyInput input{.now_ms = static_cast<int64_t>(now_ms_), .seed = rng_()};
+    for (uint16_t i = 0; i < engines_.size(); ++i) {
+      input.upstreams.push_back(ViewOf(i));
+    }
+    for (const Run* run : queue_) {
+      input.queue.push_back(ViewOf(*run));
+    }
+    const Decision decision = policy_.Decide(input);
+    for (const Assignment& assignment : decision.assignments) {
+      Run* run = Take(assignment.ticket);
+      const load::Step& step = run->plan.steps[run->step];
+      engines_[assignment.upstream.index].Submit(
+          {.run = run,
+           .prompt = run->history + step.new_tokens,
+           .output = step.answer_tokens,
+           .sent_ms = now_ms_});
+    }
+    for (const Rejection& rejection : decision.rejections) {
+      OnRefused(*Take(rejection.ticket), rejection);
+    }
+  }
+
+  void OnRefused(Run& run, const Rejection& rejection) {
+    ++result_.refusals;
+    ++result_.reasons[rejection.reason];
+    const double back = now_ms_ + static_cast<double>(rejection.retry_after_ms);
+    const auto deadline =
+        static_cast<double>(run.plan.arrival_ms + run.plan.deadline_ms);
+    if (back < deadline) {
+      Push(back, &run, -1);
+    } else {
+      Leave(run, false);
+    }
+  }
+
+  Run* Take(uint64_t key) {
+    Run* run = runs_[key - 1].get();
+    queue_.erase(std::find(queue_.begin(), queue_.end(), run));
+    return run;
+  }
+
+  ReplayResult Result() {
+    std::sort(latencies_.begin(), latencies_.end());
+    const auto at = [this](double share) {
+      return latencies_.empty()
+                 ? 0
+                 : latencies_[static_cast<size_t>(
+                       share * static_cast<double>(latencies_.size() - 1))];
+    };
+    result_.started = runs_.size();
+    result_.median_ms = at(0.5);
+    result_.p95_ms = at(0.95);
+    for (const auto& run : runs_) {
+      result_.computed_tokens += run->computed;
+      result_.recomputed_tokens +=
+          std::max<int64_t>(run->computed - run->longest, 0);
+    }
+    return result_;
+  }
+
+  const ReplayInit init_;
+  const PolicyI& policy_;
+  Rng rng_;
+  std::deque<Engine> engines_;
+  std::vector<Estimate> estimates_;
+  std::vector<bool> busy_;
+  std::vector<std::unique_ptr<Run>> runs_;
+  std::vector<Run*> queue_;
+  std::priority_queue<Event> events_;
+  uint64_t number_ = 0;
+  double now_ms_ = 0;
+  double output_mean_ = 200;
+  double calls_mean_ = 4;
+  size_t left_ = 0;
+  std::vector<double> latencies_;
+  ReplayResult result_;
+};
+
+}  // namespace ring::replay
