--- /dev/null
+++ b/apps/ringentry/entry_settings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "persimmonring/entry.h"
+#include "persimmonring/keeper.h"
+
+namespace ring {
+
+/// All settings of ringentry.
+SettingTable EntrySettingTable();
+
+/// Checks what a single row cannot express.
+std::vector<SettingError> CheckEntrySettings(const Settings& settings,
+                                             const std::string& file);
+
+EntryInit ToEntryInit(const Settings& settings);
+Hub::Init ToHubInit(const Settings& settings);
+KeeperClientInit ToKeeperClientInit(const Settings& settings);
+LogInit ToLogInit(const Settings& settings);
+/// @returns the endpoints of a checked list of "ip:port"
+std::vector<Endpoint> ToEndpoints(const std::vector<std::string>& list);
+
+}  // namespace ring
--- /dev/null
+++ b/apps/ringentry/main.cc
@@ -0,0 +1,205 @@
+#include <atomic>
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+#include "entry_settings.h"
+
+namespace ring {
+namespace {
+
+constexpr int64_t kPollMs = 50;
+
+struct Options {
+  std::string config;
+  bool check = false;
+  bool describe = false;
+};
+
+int Fail(const Refusal& refusal, int code) {
+  std::cerr << "ringentry: " << ToString(refusal.reason) << ": "
+            << refusal.message << "\n";
+  return code;
+}
+
+// Passes frames of the one hub to the parts that use them.
+class Router final : public HubListenerI {
+ public:
+  void OnOpened(SessionHandle, const PeerInfo&) override {}
+  void OnFrame(SessionHandle session,
+               const PeerInfo& peer,
+               const Frame& frame) override {
+    switch (frame.kind) {
+      case FrameKind::KeeperReply:
+      case FrameKind::ControlPush:
+        if (KeeperClient* target = client.load()) {
+          target->OnFrame(session, peer, frame);
+        }
+        break;
+      case FrameKind::Gossip:
+        if (Directory* target = directory.load()) {
+          target->OnFrame(session, peer, frame);
+        }
+        break;
+      default:
+        if (Entry* target = entry.load()) {
+          target->OnFrame(session, peer, frame);
+        }
+        break;
+    }
+  }
+  void OnClosed(SessionHandle session,
+                const PeerInfo& peer,
+                Reason reason) override {
+    if (KeeperClient* target = client.load()) {
+      target->OnClosed(session);
+    }
+    if (Entry* target = entry.load()) {
+      target->OnClosed(session, peer, reason);
+    }
+  }
+
+  std::atomic<KeeperClient*> client{nullptr};
+  std::atomic<Directory*> directory{nullptr};
+  std::atomic<Entry*> entry{nullptr};
+};
+
+Directory::Init ToDirectoryInit(const Settings& settings) {
+  Directory::Init init;
+  init.node = settings.String("node");
+  init.domain = settings.String("domain");
+  init.region = settings.String("region");
+  init.wire = settings.Address("wire_address");
+  init.seeds = ToEndpoints(settings.StringList("seeds"));
+  return init;
+}
+
+// Further signals change nothing: a drain cuts no request off.
+void WaitForEnd(Entry& entry, Directory& directory) {
+  bool announced = false;
+  while (!entry.drained()) {
+    if (WaitStopSignal(kPollMs)) {
+      entry.BeginDrain();
+    }
+    if (entry.draining() && !announced) {
+      directory.SetLeaving();
+      announced = true;
+    }
+  }
+}
+
+int Serve(const Settings& settings, Router& router, Hub& hub) {
+  const ClockI& clock = SystemClock();
+  KeeperClient client(ToKeeperClientInit(settings), hub, clock);
+  router.client.store(&client);
+  const auto programs = CreateProgramStore(client);
+  const auto control = CreateControlStore(client);
+  Directory directory(ToDirectoryInit(settings), hub, clock);
+  router.directory.store(&directory);
+  const auto engine = CreateHttpEngine();
+  const auto service = CreateHttpService();
+  PolicyInit policy_init;
+  policy_init.max_queue = settings.Int("calls.max_queue");
+  policy_init.aging_ms = settings.Int("policy.aging_ms");
+  const auto policy = CreatePolicy(settings.String("policy.name"), policy_init);
+  constexpr double kPercent = 100;
+  RetryInit retry_init;
+  retry_init.budget_share =
+      static_cast<double>(settings.Int("retry.budget_percent")) / kPercent;
+  retry_init.max_attempts =
+      static_cast<int32_t>(settings.Int("retry.max_attempts"));
+  const auto retries = CreateRetryPolicy(retry_init);
+
+  EntryParts parts{&clock,       programs.get(), control.get(),
+                   &directory,   engine.get(),   service.get(),
+                   policy.get(), retries.get(),  &hub};
+  auto created = Entry::Create(ToEntryInit(settings), parts);
+  if (!created) {
+    return Fail(created.refusal(), kExitPortInUse);
+  }
+  Entry& entry = **created;
+  router.entry.store(&entry);
+  client.OnControlPush(
+      [&entry](uint64_t version) { entry.OnControlPush(version); });
+
+  Supervisor supervisor({.name = "ringentry"});
+  supervisor.AddDuty(
+      "network", [&hub](const StopToken& stop) { return hub.Run(stop); },
+      [&hub] { hub.Wake(); });
+  supervisor.AddDuty("membership", [&directory](const StopToken& stop) {
+    return directory.Run(stop);
+  });
+  auto calls = std::make_unique<Supervisor>(Supervisor::Init{.name = "calls"});
+  entry.AddDuties(*calls);
+  supervisor.AddChild(std::move(calls));
+  supervisor.Start();
+  Event(LogLevel::kInfo, "entry_started")
+      .Add("http", settings.Address("http_address").ToString())
+      .Add("wire", settings.Address("wire_address").ToString());
+  WaitForEnd(entry, directory);
+  supervisor.Stop();
+  router.entry.store(nullptr);
+  router.directory.store(nullptr);
+  router.client.store(nullptr);
+  Event(LogLevel::kInfo, "entry_stopped");
+  return kExitOk;
+}
+
+int Run(const Settings& settings) {
+  InitLog(ToLogInit(settings));
+  Router router;
+  auto hub = Hub::Create(ToHubInit(settings), router);
+  if (!hub) {
+    return Fail(hub.refusal(), kExitPortInUse);
+  }
+  const Endpoint metrics_address = settings.Address("metrics_address");
+  if (isValid(metrics_address)) {
+    if (const Status status = metrics::Serve(metrics_address); !status) {
+      return Fail(status.refusal(), kExitPortInUse);
+    }
+  }
+  return Serve(settings, router, **hub);
+}
+
+int Main(int argc, char** argv) {
+  BlockStopSignals();
+  Options options;
+  CLI::App app("Serves callers of a ring and schedules their programs.",
+               "ringentry");
+  app.add_option("--config", options.config, "Settings file");
+  app.add_flag("--check", options.check, "Check the settings and exit");
+  app.add_flag("--describe-settings", options.describe,
+               "Print all settings as Markdown rows and exit");
+  app.set_version_flag("--version", RING_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kExitOk : kExitUsage;
+  }
+  if (options.describe) {
+    std::cout << DescribeSettings(EntrySettingTable());
+    return kExitOk;
+  }
+  if (options.config.empty()) {
+    std::cerr << "ringentry: --config is needed\n";
+    return kExitUsage;
+  }
+  SettingsResult result = LoadSettings(EntrySettingTable(), options.config);
+  if (result.settings) {
+    result.errors = CheckEntrySettings(*result.settings, options.config);
+  }
+  for (const SettingError& error : result.errors) {
+    std::cerr << error.ToString() << "\n";
+  }
+  if (!result.errors.empty() || !result.settings) {
+    return kExitBadSettings;
+  }
+  return options.check ? kExitOk : Run(*result.settings);
+}
+
+}  // namespace
+}  // namespace ring
+
+int main(int argc, char** argv) {
+  return ring::Main(argc, argv);
+}
