--- a/apps/ringkeeper/main.cc
+++ b/apps/ringkeeper/main.cc
@@ -102,7 +102,7 @@
   }
   HandOver(host, settings.Int("hand_over_ms"));
   supervisor.Stop();
-  Event(LogLevel::kInfo, "keeper_stopped");
+  Event(LogLevel::kInfo, "keeper_stopped").Add("exit_code", int{kExitOk});
   return kExitOk;
 }
 
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -113,9 +113,9 @@
 }
 
 // All inputs that wait are taken in before the log is synced once.
-Status GroupHost::Pass(std::deque<GroupInput> inputs) {
+Status GroupHost::Pass(const std::deque<GroupInput>& inputs) {
   TickIfDue();
-  for (GroupInput& input : inputs) {
+  for (const GroupInput& input : inputs) {
     switch (input.kind) {
       case GroupInput::Kind::kRaft:
         HandleRaft(input);
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -91,7 +91,7 @@
   };
 
   // The loop (keeper_group.cc).
-  Status Pass(std::deque<GroupInput> inputs);
+  Status Pass(const std::deque<GroupInput>& inputs);
   void TickIfDue();
   Status ProcessReady();
   Status Persist(Ready& ready);
--- a/src/log_replica.cc
+++ b/src/log_replica.cc
@@ -18,9 +18,11 @@
 }
 
 Replica::Impl::Impl(Init init, DurableState state)
-    : init_(std::move(init)), log_(std::move(state)), rng_(init_.seed) {
-  hard_ = state.hard_state;
-  persisted_hard_ = hard_;
+    : init_(std::move(init)),
+      hard_(state.hard_state),
+      persisted_hard_(hard_),
+      log_(std::move(state)),
+      rng_(init_.seed) {
   commit_ = log_.snapshot().index;
   applied_ = commit_;
   stable_ = log_.last_index();
--- a/src/log_replica_members.cc
+++ b/src/log_replica_members.cc
@@ -22,7 +22,7 @@
   return Done{};
 }
 
-Outcome<Proposed> Replica::Impl::ProposeConfig(LogConfig config,
+Outcome<Proposed> Replica::Impl::ProposeConfig(const LogConfig& config,
                                                int64_t now_ms) {
   const uint64_t index =
       AppendOwn(EntryKind::kConfig, EncodeLogConfig(config), now_ms);
@@ -43,7 +43,7 @@
   }
   LogConfig config = log_.config();
   config.members.push_back({id, node, false});
-  return ProposeConfig(std::move(config), now_ms);
+  return ProposeConfig(config, now_ms);
 }
 
 Outcome<Proposed> Replica::Impl::RemoveMember(ReplicaNumber id,
@@ -68,7 +68,7 @@
   }
   LogConfig config = log_.config();
   std::erase_if(config.members, [id](const Member& m) { return m.id == id; });
-  return ProposeConfig(std::move(config), now_ms);
+  return ProposeConfig(config, now_ms);
 }
 
 void Replica::Impl::SyncProgress() {
@@ -110,7 +110,7 @@
       for (Member& changed : config.members) {
         changed.voter = changed.voter || changed.id == member.id;
       }
-      ProposeConfig(std::move(config), now_ms);
+      ProposeConfig(config, now_ms);
       return;
     }
     if (progress.match >= progress.catch_up_target) {
--- a/src/log_replica_p.h
+++ b/src/log_replica_p.h
@@ -109,17 +109,17 @@
 
   // Membership (log_replica_members.cc).
   Status CheckChange() const;
-  Outcome<Proposed> ProposeConfig(LogConfig config, int64_t now_ms);
+  Outcome<Proposed> ProposeConfig(const LogConfig& config, int64_t now_ms);
   void SyncProgress();
   void PromoteLearners(int64_t now_ms);
 
   void Send(RaftMessage message);
 
   const Init init_;
-  RaftLog log_;
-  Rng rng_;
   HardState hard_;
   HardState persisted_hard_;
+  RaftLog log_;
+  Rng rng_;
   uint64_t commit_ = 0;
   uint64_t applied_ = 0;
   uint64_t stable_ = 0;  // Last entry that is synced here.
--- a/tests/keeper_host_test.cc
+++ b/tests/keeper_host_test.cc
@@ -44,6 +44,7 @@
   const DiskControl& disk = *keepers_[leader].control;
   const int64_t before = disk.syncs;
   std::vector<uint64_t> sent;
+  sent.reserve(300);
   for (int i = 0; i < 300; ++i) {
     sent.push_back(client_.Send(leader, group_, Op::Propose, "x"));
   }
@@ -64,6 +65,7 @@
   const Labels labels = {{"reason", "queue_full"}};
   const double counted = metrics::Value("ring_refusals_total", labels);
   std::vector<uint64_t> sent;
+  sent.reserve(40);
   for (int i = 0; i < 40; ++i) {
     sent.push_back(
         client_.Send(leader, group_, Op::Propose, "n" + std::to_string(i)));
--- a/tests/log_cluster.h
+++ b/tests/log_cluster.h
@@ -41,7 +41,7 @@
   };
 
   explicit LogCluster(uint64_t seed,
-                      std::vector<ReplicaNumber> voters = {1, 2, 3})
+                      const std::vector<ReplicaNumber>& voters = {1, 2, 3})
       : seed_(seed), rng_(seed) {
     for (const ReplicaNumber id : voters) {
       initial_.push_back({id, NodeName(id), true});
--- /dev/null
+++ b/tests/log_placement_test.cc
@@ -0,0 +1,110 @@
+#include "tests/log_cluster.h"
+
+namespace ring {
+namespace {
+
+// Replica 1 is in the home domain in both placements.
+struct Placement {
+  const char* name;
+  std::set<ReplicaNumber> home;
+  std::set<ReplicaNumber> elsewhere;
+};
+
+const Placement kSpread = {"spread", {1}, {2, 3}};
+const Placement kHomeMajority = {"home majority", {1, 2}, {3}};
+
+class ReplicaPlacement : public testing::Test {
+ protected:
+  void CutHomeOff(const Placement& placement) {
+    for (const ReplicaNumber a : placement.home) {
+      for (const ReplicaNumber b : placement.elsewhere) {
+        cluster_.Cut(a, b);
+      }
+    }
+  }
+
+  void LoseHome(const Placement& placement) {
+    for (const ReplicaNumber id : placement.home) {
+      cluster_.Crash(id);
+    }
+  }
+
+  // True if some replica of the side can get the command committed.
+  bool SideCommits(const std::set<ReplicaNumber>& side,
+                   const std::string& command) {
+    return cluster_.TickUntil(
+        [&] {
+          for (const ReplicaNumber id : side) {
+            if (cluster_.node(id).running && cluster_.replica(id).is_leader() &&
+                !cluster_.Applied(id, command)) {
+              cluster_.replica(id).Propose(command, cluster_.now_ms());
+              cluster_.Drain();
+            }
+            if (cluster_.node(id).running && cluster_.Applied(id, command)) {
+              return true;
+            }
+          }
+          return false;
+        },
+        300);
+  }
+
+  void ExpectRepaired() {
+    cluster_.Heal();
+    ASSERT_TRUE(cluster_.TickUntil([&] { return cluster_.Commit("healed"); }));
+    cluster_.Tick(50);
+    EXPECT_EQ(cluster_.node(1).state, cluster_.node(2).state);
+    EXPECT_EQ(cluster_.node(1).state, cluster_.node(3).state);
+  }
+
+  LogCluster cluster_{31};
+};
+
+// Guards against a spread group that needs its home domain.
+TEST_F(ReplicaPlacement, SpreadHomeCutOff_OnlyTheOtherDomainsCommit) {
+  cluster_.WaitLeader();
+  ASSERT_TRUE(cluster_.Commit("before"));
+  CutHomeOff(kSpread);
+  EXPECT_FALSE(SideCommits(kSpread.home, "home"));
+  EXPECT_TRUE(SideCommits(kSpread.elsewhere, "others"));
+  ExpectRepaired();
+  EXPECT_FALSE(cluster_.Applied(1, "home"));
+}
+
+TEST_F(ReplicaPlacement, SpreadHomeLost_NothingIsLostAndOthersCommit) {
+  cluster_.WaitLeader();
+  ASSERT_TRUE(cluster_.Commit("before"));
+  LoseHome(kSpread);
+  EXPECT_TRUE(SideCommits(kSpread.elsewhere, "after"));
+  EXPECT_TRUE(cluster_.Applied(2, "before"));
+  EXPECT_TRUE(cluster_.Applied(3, "before"));
+}
+
+// Guards against a home majority that stops when its domain is cut off.
+TEST_F(ReplicaPlacement, HomeMajorityCutOff_OnlyTheHomeDomainCommits) {
+  cluster_.WaitLeader();
+  CutHomeOff(kHomeMajority);
+  EXPECT_TRUE(SideCommits(kHomeMajority.home, "home"));
+  EXPECT_FALSE(SideCommits(kHomeMajority.elsewhere, "others"));
+  ExpectRepaired();
+  EXPECT_TRUE(cluster_.Applied(3, "home"));
+}
+
+// Guards against a wrong belief that this placement keeps all entries: what was
+// committed at home while the rest was cut off is gone with the domain, and
+// nothing commits until an operator declares the domain lost.
+TEST_F(ReplicaPlacement, HomeMajorityLost_LastEntriesAreLostAndNothingCommits) {
+  cluster_.WaitLeader();
+  ASSERT_TRUE(cluster_.Commit("before"));
+  cluster_.Tick(5);
+  CutHomeOff(kHomeMajority);
+  ASSERT_TRUE(SideCommits(kHomeMajority.home, "last"));
+  LoseHome(kHomeMajority);
+  cluster_.Heal();
+  EXPECT_FALSE(SideCommits(kHomeMajority.elsewhere, "after"));
+  EXPECT_TRUE(cluster_.Applied(3, "before"));
+  EXPECT_FALSE(cluster_.Applied(3, "last"));
+}
+
+}  // namespace
+}  // namespace ring
