--- a/tests/policy_replay.h
+++ b/tests/policy_replay.h
@@ -60,7 +60,7 @@
 
 class Engine {
  public:
-  Engine(const ReplayInit& init) : init_(init) {}
+  explicit Engine(const ReplayInit& init) : init_(init) {}
 
   void Submit(const Job& job) { waiting_.push_back(job); }
   bool idle() const { return running_.empty(); }
@@ -239,6 +239,10 @@
     }
   };
 
+  uint16_t EngineCount() const {
+    return static_cast<uint16_t>(engines_.size());
+  }
+
   void Push(double at_ms, Run* run, int engine) {
     events_.push({at_ms, ++number_, run, engine});
   }
@@ -315,7 +319,7 @@
     view.expected_remaining_calls =
         std::max<int64_t>(0, static_cast<int64_t>(calls_mean_) -
                                  static_cast<int64_t>(run.step) - 1);
-    for (uint16_t i = 0; i < engines_.size(); ++i) {
+    for (uint16_t i = 0; i < EngineCount(); ++i) {
       view.candidates.push_back({i});
       const auto found = run.cached.find(i);
       if (found != run.cached.end()) {
@@ -346,7 +350,7 @@
       return;
     }
     PolicyInput input{.now_ms = static_cast<int64_t>(now_ms_), .seed = rng_()};
-    for (uint16_t i = 0; i < engines_.size(); ++i) {
+    for (uint16_t i = 0; i < EngineCount(); ++i) {
       input.upstreams.push_back(ViewOf(i));
     }
     for (const Run* run : queue_) {
