Adapt the launcher to the entry's status page

Cause: the launcher waited for a field that the status page does not have. Change: it reads "up" and control_version.

--- a/tools/fault_run.py
+++ b/tools/fault_run.py
@@ -130,7 +130,7 @@
                     status = get_json(entry.admin, "/admin/status", timeout=1)
                 except (OSError, RuntimeError, ValueError):
                     continue
-                version = status["config_version"]
+                version = status["control_version"]
                 key = (entry.name, entry.process.child.pid)
                 if version < self.highest.get(key, 0):
                     self.problems.append(
@@ -380,7 +380,7 @@
     versions = {}
     while time.monotonic() < deadline:
         versions = {entry.name: get_json(entry.admin, "/admin/status")
-                    ["config_version"] for entry in ring.entries}
+                    ["control_version"] for entry in ring.entries}
         if all(version >= wanted for version in versions.values()):
             return problems
         time.sleep(0.2)
--- a/tools/ringlab.py
+++ b/tools/ringlab.py
@@ -347,7 +347,7 @@
             for entry in self.entries:
                 status = get_json(entry.admin, "/admin/status")
                 up = {item["name"] for item in status["upstreams"]
-                      if item.get("state") == "up"}
+                      if item["up"]}
                 if not names <= up:
                     return False
         except (OSError, RuntimeError):
