Hand out each port once in the launcher

Cause: two calls of free_ports returned the same ports before they were bound. Change: one cursor for the process.

--- a/tools/ringlab.py
+++ b/tools/ringlab.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import shutil
@@ -22,14 +23,19 @@
 HOST = "127.0.0.1"
 
 
+PORTS = itertools.cycle(range(10000, 30000))
+# Different starts keep two runs at the same time apart.
+for _ in range((os.getpid() * 97) % 19000):
+    next(PORTS)
+
+
 def free_ports(count):
-    """Returns ports that are free now. They are taken below the range that the
-    system uses for outgoing connections, so that none is lost before its
-    process binds it."""
+    """Returns ports that are free now and were not returned before. They are
+    below the range that the system uses for outgoing connections, so that none
+    is lost before its process binds it."""
     ports = []
-    candidate = 10000 + (os.getpid() * 97) % 15000
     while len(ports) < count:
-        candidate = candidate + 1 if candidate < 30000 else 10000
+        candidate = next(PORTS)
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, candidate))
