--- a/tools/fault_run.py
+++ b/tools/fault_run.py
@@ -130,7 +130,7 @@
                     status = get_json(entry.admin, "/admin/status", timeout=1)
                 except (OSError, RuntimeError, ValueError):
                     continue
-                version = status["config_version"]
+                version = status["control_version"]
                 key = (entry.name, entry.process.child.pid)
                 if version < self.highest.get(key, 0):
                     self.problems.append(
@@ -361,8 +361,8 @@
         for item in ring.upstreams:
             if item.kind == "engine":
                 keys = get_json(item.port, "/v1/fake/keys")
-                names = {key["key"] if isinstance(key, dict) else key
-                         for key in keys}
+                names = {key for key, memory in keys.items()
+                         if memory["held_tokens"] > 0}
                 for key in names & ended:
                     held.setdefault(item.name, []).append(key[:16])
         if not held:
@@ -380,7 +380,7 @@
     versions = {}
     while time.monotonic() < deadline:
         versions = {entry.name: get_json(entry.admin, "/admin/status")
-                    ["config_version"] for entry in ring.entries}
+                    ["control_version"] for entry in ring.entries}
         if all(version >= wanted for version in versions.values()):
             return problems
         time.sleep(0.2)
