Poll the control group on each push, not only on new versions

Change: a push always wakes the poll. The fault run arms engines that crash on a text and counts how many one request takes down.

--- a/apps/ringentry/main.cc
+++ b/apps/ringentry/main.cc
@@ -120,7 +120,7 @@
   Entry& entry = **created;
   router.entry.store(&entry);
   client.OnControlPush(
-      [&entry](uint64_t version) { entry.OnControlPush(version); });
+      [&entry](uint64_t /*version*/) { entry.OnControlPush(); });
 
   Supervisor supervisor({.name = "ringentry"});
   supervisor.AddDuty(
--- a/src/entry_entry.cc
+++ b/src/entry_entry.cc
@@ -247,8 +247,8 @@
   return impl_->StatusText();
 }
 
-void Entry::OnControlPush(uint64_t version) {
-  impl_->janitor.OnPush(version);
+void Entry::OnControlPush() {
+  impl_->janitor.OnPush();
 }
 
 void Entry::OnOpened(SessionHandle, const PeerInfo&) {}
--- a/src/entry_janitor.cc
+++ b/src/entry_janitor.cc
@@ -18,10 +18,8 @@
   wake_.TryPush(1);
 }
 
-void Janitor::OnPush(uint64_t version) {
-  if (version > config_.View()->version) {
-    Kick();
-  }
+void Janitor::OnPush() {
+  Kick();
 }
 
 Status Janitor::Run(const StopToken& stop) {
--- a/src/entry_janitor_p.h
+++ b/src/entry_janitor_p.h
@@ -18,7 +18,8 @@
 
   /// Runs a pass soon.
   void Kick();
-  void OnPush(uint64_t version);
+  /// A push may name a new configuration or a new quarantine; both are polled.
+  void OnPush();
   Status Run(const StopToken& stop);
   /// One pass.
   void Step();
--- a/tests/entry_crash_test.cc
+++ b/tests/entry_crash_test.cc
@@ -71,6 +71,32 @@
   EXPECT_EQ(poison_attempts.load(), 2);
 }
 
+// Guards against a quarantine that other entries learn of only at their next
+// poll: a caller that sends the request again at once crashed two more engines.
+TEST_F(EntryCrash, QuarantinePushed_IsInForceAtAnotherEntryBeforeItsNextPoll) {
+  EntryInit slow = TestEntry::DefaultInit("entry-2");
+  slow.janitor_period_ms = 4'000;
+  TestEntry other(ring_, slow);
+  ring_.upstreams.OnAttempt([&](const auto&, const auto& request) {
+    return request.messages.find("poison") == std::string::npos
+               ? EngineFault{}
+               : EngineFault{Kind::kCrash};
+  });
+  ASSERT_EQ(caller_.Ask(caller_.Open(), 1, "poison").reason(), "quarantined");
+  other.entry().OnControlPush();
+  Caller caller(other);
+  const std::string status = "\"quarantined\":1";
+  auto admin = other.AdminClient();
+  const int64_t end_ms = SystemClock().NowMs() + 2'000;
+  while (admin->Get("/admin/status")->body.find(status) == std::string::npos &&
+         SystemClock().NowMs() < end_ms) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  const size_t attempts = ring_.upstreams.attempts().size();
+  EXPECT_EQ(caller.Ask(caller.Open(), 1, "poison").reason(), "quarantined");
+  EXPECT_EQ(ring_.upstreams.attempts().size(), attempts);
+}
+
 // Guards against a suspect that shares its engine and makes others suspects.
 TEST_F(EntryCrash, Suspect_RunsAlone) {
   ring_.upstreams.token_delay_ms = 3;
--- a/tools/fault_run.py
+++ b/tools/fault_run.py
@@ -27,7 +27,8 @@
 CONFIG_LIMIT_S = 11   # Configuration in force everywhere.
 LEAVING_LIMIT_S = 3   # No new work for an upstream that gave notice.
 RELEASE_LIMIT_S = 20  # Engine memory of ended programs, all processes up.
-BUDGET_TOKENS = 4000
+MAX_CRASHED_ENGINES = 2  # By one request, before it is refused everywhere.
+BUDGET_TOKENS = 8000
 TURNS = 14
 
 
@@ -88,9 +89,9 @@
                 number += 1
 
     def _apply(self, number, name):
-        body = {"added": [], "withdrawn": [],
-                "changed": [{"kind": "limit", "name": "probe",
-                             "value": number, "by": name}]}
+        change = "added" if number == 1 else "changed"
+        body = {change: [{"kind": "limit", "name": "probe", "value": number,
+                          "by": name}]}
         with tempfile.NamedTemporaryFile("w", suffix=".json") as note:
             json.dump(body, note)
             note.flush()
@@ -101,9 +102,12 @@
                 if result.returncode == 0:
                     self._accept(number, name, json.loads(result.stdout))
                     return
-                if "conflict" in result.stderr + result.stdout:
+                if "conflict" in result.stderr:
                     self.conflicts += 1
                     return
+                if "bad_request" in result.stderr:
+                    self.problems.append(result.stderr.strip())
+                    return
                 time.sleep(0.3)
 
     def _accept(self, number, name, answer):
@@ -151,13 +155,15 @@
         self.next_replica = 100
         self.wiped = 0
         self.counts = {}
+        self.killers = 0
+        self.problems = []
 
     def run(self, seconds):
         end = time.monotonic() + seconds
         kinds = [self.kill_entry, self.freeze_entry, self.kill_keeper,
                  self.freeze_keeper, self.wipe_keeper, self.cut_domain,
                  self.kill_engine, self.leave_engine, self.restart_entry,
-                 self.kill_entry_and_keeper]
+                 self.kill_entry_and_keeper, self.killer_request]
         bag = []
         while time.monotonic() < end:
             if not bag:
@@ -256,6 +262,55 @@
         engine.process.stop()
         self.ring.start_upstream(engine)
 
+    def killer_request(self):
+        """Sends a request that crashes each engine that runs it. Its caller
+        sends it again, also in a new program; it may take down at most two."""
+        self.killers += 1
+        text = f"killer-{self.killers}-end"
+        engines = [item for item in self.ring.upstreams
+                   if item.kind == "engine"]
+        crashed = 0
+        answers = []
+        for attempt in range(3):
+            self.ring.wait("upstreams are announced", self.ring.all_announced)
+            for engine in engines:
+                self._arm(engine, text)
+            entry = self.ring.entries[attempt % len(self.ring.entries)]
+            answers.append(self._send_killer(entry, text))
+            for engine in engines:
+                if not engine.process.alive():
+                    crashed += 1
+                    self.ring.start_upstream(engine)
+        self.log(f"a request that crashes engines took down {crashed}; "
+                 f"answers {answers}")
+        if crashed > MAX_CRASHED_ENGINES:
+            self.problems.append(f"one request crashed {crashed} engines")
+
+    def _arm(self, engine, text):
+        """Makes an engine crash on a text; waits while it starts."""
+        def armed():
+            try:
+                return request(engine.port, "POST", "/v1/fake/fault", {
+                    "kind": "crash_on_text", "text": text})[0] == 200
+            except OSError:
+                return False
+        self.ring.wait(f"{engine.name} answers", armed)
+
+    def _send_killer(self, entry, text):
+        try:
+            _, _, opened = request(entry.http, "POST", "/v1/programs", {
+                "team": "faults", "budget_tokens": 1000, "deadline_ms": 60000})
+            program = json.loads(opened)["program"]
+            status, _, body = request(
+                entry.http, "POST", "/v1/chat/completions", {
+                    "model": self.ring.shape.model, "max_tokens": 8,
+                    "messages": [{"role": "user", "content": text}]},
+                {"Authorization": "Bearer " + program, "Ring-Sequence": "1"})
+            request(entry.http, "DELETE", f"/v1/programs/{program}")
+            return json.loads(body).get("error", {}).get("reason", status)
+        except (OSError, KeyError, ValueError) as error:
+            return repr(error)
+
     def _engine(self):
         return self.random.choice(
             [item for item in self.ring.upstreams if item.kind == "engine"])
@@ -264,10 +319,13 @@
 # --------------------------------------------------------------------- checks
 
 
+def records_of(callers):
+    return [record for caller in callers for record in caller.records]
+
+
 def check_programs(ring, callers):
     problems = []
-    for caller in callers:
-        record = caller.record
+    for record in records_of(callers):
         name = f"program {record.number}"
         problems += [f"{name}: {text}" for text in record.problems]
         if not record.program:
@@ -298,8 +356,8 @@
                 executed[tag] = executed.get(tag, 0) + count
     problems = []
     seen = {}
-    for caller in callers:
-        for purchase in caller.record.purchases:
+    for record in records_of(callers):
+        for purchase in record.purchases:
             count = executed.get(purchase.tag, 0)
             seen[purchase.outcome] = seen.get(purchase.outcome, 0) + 1
             expected = {DONE: (1,), NOT_RUN: (0,)}.get(purchase.outcome, (0, 1))
@@ -316,8 +374,8 @@
                   if item.kind == "engine" and item.process.alive())
     problems = []
     checked = 0
-    for caller in callers:
-        messages = caller.record.messages
+    for record in records_of(callers):
+        messages = record.messages
         for end in range(1, len(messages), 2):
             if checked >= limit:
                 return problems, checked
@@ -325,7 +383,7 @@
                                       "/v1/chat/completions", {
                                           "model": ring.shape.model,
                                           "messages": messages[:end],
-                                          "max_tokens": 32, "stream": True})
+                                          "max_tokens": 64, "stream": True})
             if status != 200:
                 problems.append(f"direct question failed: {status}")
                 continue
@@ -336,7 +394,7 @@
                         expected += choice.get("delta", {}).get("content") or ""
             checked += 1
             if expected != messages[end]["content"]:
-                problems.append(f"program {caller.record.number} message {end} "
+                problems.append(f"program {record.number} message {end} "
                                 "is not the answer to its question")
     return problems, checked
 
@@ -345,8 +403,8 @@
     """Ends all programs; no engine may keep memory of them."""
     problems = []
     ended = set()
-    for caller in callers:
-        program = caller.record.program
+    for record in records_of(callers):
+        program = record.program
         if not program:
             continue
         status, _, text = request(ring.entries[-1].http, "DELETE",
@@ -395,8 +453,9 @@
         print(f"[{time.monotonic() - started:6.1f}] {text}", flush=True)
 
     shape = Shape(ring="faults", engines_per_domain=2, services_per_domain=1,
-                  engine_args=["--decode-base-ms", "2",
-                               "--answer-tokens-max", "32"])
+                  engine_args=["--decode-base-ms", "6",
+                               "--answer-tokens-max", "64"],
+                  service_args=["--delay-ms", "60"])
     log(f"seed {args.seed}, {args.programs} programs, {args.seconds} s")
     with Ring(shape, keep=args.keep) as ring:
         links = Links(ring, ring.domains[-1])
@@ -404,13 +463,16 @@
         log("ring is up")
         operators = Operators(ring, args.seed)
         watch = VersionWatch(ring)
-        callers = [Caller(ring, number, args.seed, args.turns, BUDGET_TOKENS)
+        over = threading.Event()
+        callers = [Caller(ring, number, args.seed, args.turns, BUDGET_TOKENS,
+                          over)
                    for number in range(args.programs)]
         for thread in [operators, watch] + callers:
             thread.start()
         faults = Faults(ring, links, args.seed, log)
         faults.run(args.seconds)
         log("faults are over; waiting for the callers")
+        over.set()
         ring.wait("everything is ready", lambda: all(
             ring.is_ready(entry.admin) for entry in ring.entries))
         ring.wait("upstreams are announced", ring.all_announced)
@@ -418,6 +480,7 @@
             caller.join(150)
             if caller.is_alive():
                 caller.record.problems.append("did not end in time")
+        records = records_of(callers)
         operators.stopping.set()
         operators.join()
         problems = check_config(ring, operators)
@@ -430,12 +493,13 @@
         problems += purchases + answers + check_release(ring, callers)
         failed = ring.stop()
         problems += [f"exit code {item}" for item in failed]
-        complete = sum(caller.record.complete for caller in callers)
-        turns = sum(len(caller.record.messages) // 2 for caller in callers)
+        problems += faults.problems
+        complete = sum(record.complete for record in records)
+        turns = sum(len(record.messages) // 2 for record in records)
         log(f"faults {faults.counts}")
-        log(f"programs complete {complete} of {len(callers)}, model turns "
+        log(f"programs complete {complete} of {len(records)}, model turns "
             f"{turns}, failed turns "
-            f"{sum(c.record.failed_turns for c in callers)}, purchases "
+            f"{sum(record.failed_turns for record in records)}, purchases "
             f"{outcomes}, answers compared {checked}, notes "
             f"{len(operators.accepted)}, conflicts {operators.conflicts}")
         for problem in problems:
--- a/tools/ringcaller.py
+++ b/tools/ringcaller.py
@@ -31,7 +31,7 @@
 @dataclass
 class Record:
     """One program as its caller saw it."""
-    number: int
+    number: str
     program: str = ""
     messages: list = field(default_factory=list)
     used_tokens: int = 0
@@ -52,33 +52,47 @@
 
 
 class Caller(threading.Thread):
-    """Runs one program: model calls, pauses, purchases, then the end."""
+    """Runs programs one after the other until `over` is set: model calls,
+    pauses and purchases."""
 
-    def __init__(self, ring, number, seed, turns, budget, end=True):
+    def __init__(self, ring, number, seed, turns, budget, over):
         super().__init__(daemon=True)
         self.ring = ring
+        self.name = f"caller {number}"
+        self.number = number
         self.random = random.Random(f"{seed}/{number}")
         self.turns = turns
         self.budget = budget
-        self.end = end
-        self.record = Record(number)
+        self.over = over
+        self.records = []
+        self.record = None
         self.sequence = 1
         self.stopped = threading.Event()
 
     def run(self):
-        try:
-            if self._open():
-                for turn in range(self.turns):
-                    if self.stopped.is_set():
-                        break
-                    if self.random.random() < 0.3:
-                        self._purchase(turn)
-                    else:
-                        self._model(turn)
-                    time.sleep(self.random.uniform(0, 0.1))
-                self.record.complete = not self.stopped.is_set()
-        except Exception as error:  # A fault of this script fails the run.
-            self.record.problems.append(f"caller failed: {error!r}")
+        while not self.over.is_set():
+            self.record = Record(f"{self.number}.{len(self.records)}")
+            self.records.append(self.record)
+            self.sequence = 1
+            self.stopped.clear()
+            try:
+                self._run_program()
+            except Exception as error:  # A fault of this script fails the run.
+                self.record.problems.append(f"caller failed: {error!r}")
+                return
+
+    def _run_program(self):
+        if not self._open():
+            return
+        for turn in range(self.turns):
+            if self.stopped.is_set():
+                return
+            if self.random.random() < 0.3:
+                self._purchase(turn)
+            else:
+                self._model(turn)
+            time.sleep(self.random.uniform(0, 0.2))
+        self.record.complete = not self.stopped.is_set()
 
     # ---------------------------------------------------------------- sending
 
@@ -149,13 +163,13 @@
         record = self.record
         user = {"role": "user",
                 "content": f"program {record.number} turn {turn} "
-                           f"answer_tokens={self.random.randint(3, 25)}"}
+                           f"answer_tokens={self.random.randint(3, 60)}"}
         delta = self.random.random() < 0.5
         messages = [user] if delta else record.messages + [user]
         extra = {"Ring-Messages": "delta"} if delta else {}
         answer = self._call("/v1/chat/completions", {
             "model": self.ring.shape.model, "messages": messages,
-            "max_tokens": 32, "stream": False}, extra)
+            "max_tokens": 64, "stream": False}, extra)
         if answer is None:
             record.problems.append(f"turn {turn}: no final answer in time")
             self.stopped.set()
--- a/tools/ringlab.py
+++ b/tools/ringlab.py
@@ -152,6 +152,7 @@
     model: str = "bracket-agent"
     service: str = "orders"
     engine_args: list = field(default_factory=list)
+    service_args: list = field(default_factory=list)
     entry_settings: dict = field(default_factory=dict)
     keeper_settings: dict = field(default_factory=dict)
 
@@ -295,7 +296,8 @@
         if upstream.kind == "engine":
             args += ["--models", self.shape.model, *self.shape.engine_args]
         else:
-            args += ["--services", self.shape.service]
+            args += ["--services", self.shape.service,
+                     *self.shape.service_args]
         upstream.process = self._process(upstream.name, args)
         upstream.process.start()
 
