Hand programs over when their owner drains; stop duties without delay

Cause: a call that reached a healthy entry was refused with draining because its owner was leaving, and a stop waited a second for the janitor. Change: a forwarded call that a draining owner refuses is taken over; janitor and scheduler are woken when they stop; announced keep-alive matches the limit.

--- a/src/entry_entry.cc
+++ b/src/entry_entry.cc
@@ -130,9 +130,10 @@
     const auto stop_http = [](entry::HttpServer& server) {
       return [&server] { server.stop(); };
     };
-    supervisor.AddDuty("scheduler", [this](const StopToken& stop) {
-      return scheduler.Run(stop);
-    });
+    supervisor.AddDuty(
+        "scheduler",
+        [this](const StopToken& stop) { return scheduler.Run(stop); },
+        [this] { scheduler.Wake(); });
     for (int64_t i = 0; i < init.call_limits.attempt_threads; ++i) {
       supervisor.AddDuty("attempt", [this](const StopToken& stop) {
         return attempts.Run(stop);
@@ -147,7 +148,8 @@
       return forwarder.RunRelay(stop);
     });
     supervisor.AddDuty(
-        "janitor", [this](const StopToken& stop) { return janitor.Run(stop); });
+        "janitor", [this](const StopToken& stop) { return janitor.Run(stop); },
+        [this] { janitor.Kick(); });
     supervisor.AddDuty("drain", [this](const StopToken& stop) {
       constexpr int64_t kPeriodMs = 20;
       while (!stop.WaitFor(kPeriodMs)) {
--- a/src/entry_forward.cc
+++ b/src/entry_forward.cc
@@ -230,17 +230,23 @@
 
 void Forwarder::OnEnd(SessionHandle session, const Frame& frame) {
   const auto* end = Verify<fb::ForwardEnd>(frame.payload);
-  std::shared_ptr<AnswerStream> answer;
+  Outbound outbound;
   {
     std::lock_guard lock(mutex_);
     const auto found = outbound_.find({session, frame.correlation});
     if (end == nullptr || found == outbound_.end()) {
       return;
     }
-    answer = found->second.answer;
+    outbound = std::move(found->second);
     outbound_.erase(found);
   }
-  answer->Finish(Decode(*end));
+  FinalAnswer final = Decode(*end);
+  if (final.refusal.reason == Reason::kDraining &&
+      final.refusal.run_state == RunState::kNotRun) {
+    TakeOver(std::move(outbound), true);  // It hands the program over.
+    return;
+  }
+  outbound.answer->Finish(std::move(final));
 }
 
 void Forwarder::OnClosed(SessionHandle session) {
@@ -264,11 +270,11 @@
     }
   }
   for (Outbound& outbound : lost) {
-    TakeOver(std::move(outbound));
+    TakeOver(std::move(outbound), false);
   }
 }
 
-void Forwarder::TakeOver(Outbound outbound) {
+void Forwarder::TakeOver(Outbound outbound, bool owner_refused) {
   takeovers_.fetch_add(1);
   metrics::Count("ring_forward_takeovers_total");
   const auto answer = outbound.answer;
@@ -276,6 +282,7 @@
   job.raw = std::move(outbound.raw);
   job.request = std::move(outbound.request);
   job.answer = answer;
+  job.owner_refused = owner_refused;
   if (!jobs_.TryPush(std::move(job))) {
     takeovers_.fetch_sub(1);
     answer->Finish(AnswerOfRefusal(
--- a/src/entry_forward_p.h
+++ b/src/entry_forward_p.h
@@ -49,6 +49,7 @@
     RawCall raw;
     CallRequest request;
     std::shared_ptr<AnswerStream> answer;  ///< Of a call taken over.
+    bool owner_refused = false;  ///< The owner said that the call did not run.
   };
   struct Relay {
     SessionHandle session;
@@ -72,7 +73,7 @@
   void OnCancel(SessionHandle session, const Frame& frame);
   void RunInbound(const Job& job);
   void RunTakeover(const Job& job);
-  void TakeOver(Outbound outbound);
+  void TakeOver(Outbound outbound, bool owner_refused);
   bool IsWanted(const Job& job) const;
   void FailTakeover(AnswerStream& answer);
   void AddRelay(Relay relay);
--- a/src/entry_forward_relay.cc
+++ b/src/entry_forward_relay.cc
@@ -95,8 +95,10 @@
   const auto submitted = calls_.Submit(job.request, {true, prefix});
   if (!submitted) {
     Refusal refusal = submitted.refusal();
-    // The lost owner may have run the call.
-    refusal.run_state = RunState::kUnknown;
+    if (!job.owner_refused) {
+      // The lost owner may have run the call.
+      refusal.run_state = RunState::kUnknown;
+    }
     job.answer->Finish(AnswerOfRefusal(refusal));
     takeovers_.fetch_sub(1);
     return;
--- a/src/entry_http_server.cc
+++ b/src/entry_http_server.cc
@@ -88,6 +88,10 @@
 
 HttpServer::HttpServer(const HttpLimits& limits) : limits_(limits) {
   set_tcp_nodelay(true);
+  // The library only announces these two; the bounds are kept in Serve.
+  set_keep_alive_max_count(static_cast<size_t>(limits.keep_alive_requests));
+  set_keep_alive_timeout(
+      std::max<time_t>(1, static_cast<time_t>(limits.keep_alive_ms / 1'000)));
   set_payload_max_length(static_cast<size_t>(limits.max_body_bytes));
   // An open port must not be shared with another process: the library's
   // default sets SO_REUSEPORT, which hides that a port is in use.
--- a/tests/entry_forward_test.cc
+++ b/tests/entry_forward_test.cc
@@ -140,6 +140,17 @@
   EXPECT_EQ(ring_.upstreams.runs(), (std::vector<std::string>{"2", "1"}));
 }
 
+// Guards against a shutdown that refuses programs although others could serve.
+TEST_F(EntryForward, OwnerDrained_HandsProgramOver) {
+  const std::string program = owner_.Open();
+  EXPECT_EQ(owner_.CallService(program, 1, "order/buy", "1").status, 200);
+  first_.entry->entry().BeginDrain();
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  const auto answer = caller_.CallService(program, 2, "order/buy", "2");
+  EXPECT_EQ(answer.status, 200) << answer.body;
+  EXPECT_EQ(ring_.store.count("acquire"), 1);
+}
+
 // Guards against a former owner that writes after it was replaced.
 TEST_F(EntryForward, FormerOwnerResumes_WritesAreFencedAndCallsMove) {
   const std::string program = owner_.Open();
