Keep limits and team budgets of the ring description

Change: limit/max_tokens, limit/max_prompt_tokens, limit/max_first_queue and team max_budget_tokens are checked; headers over their limit are body_too_large; a setting for the least retries per second.

--- a/apps/ringentry/entry_settings.cc
+++ b/apps/ringentry/entry_settings.cc
@@ -170,6 +170,9 @@
       Number("retry.budget_percent", "%",
              static_cast<int64_t>(retry.budget_share * 100), 0, 100,
              "Retries as a share of calls."),
+      Number("retry.min_per_s", "1/s", retry.min_retries_per_s, 0, 10'000,
+             "Retries that are allowed in any case; up to 10 s of them are "
+             "saved up."),
       Number("retry.max_attempts", "", retry.max_attempts, 1, 10,
              "Attempts of one call."),
       Number("policy.aging_ms", "ms", policy.aging_ms, 1, kMaxTimeMs,
--- a/apps/ringentry/main.cc
+++ b/apps/ringentry/main.cc
@@ -106,6 +106,8 @@
   RetryInit retry_init;
   retry_init.budget_share =
       static_cast<double>(settings.Int("retry.budget_percent")) / kPercent;
+  retry_init.min_retries_per_s =
+      static_cast<int32_t>(settings.Int("retry.min_per_s"));
   retry_init.max_attempts =
       static_cast<int32_t>(settings.Int("retry.max_attempts"));
   const auto retries = CreateRetryPolicy(retry_init);
--- a/src/entry_calls.cc
+++ b/src/entry_calls.cc
@@ -335,7 +335,28 @@
                 "\n" + request.extra + "\n" + call.prompt);
 }
 
+Status CallService::CheckLimits(const Call& call) const {
+  const auto limit = [this](const char* name) {
+    return config_.Number("limit", name, "value", INT64_MAX);
+  };
+  if (call.request.max_tokens > limit("max_tokens")) {
+    return Refuse(Reason::kTokenLimit,
+                  "max_tokens is above the limit of the ring, " +
+                      std::to_string(limit("max_tokens")));
+  }
+  if (call.prompt_tokens > limit("max_prompt_tokens")) {
+    return Refuse(Reason::kTokenLimit,
+                  "the prompt is above the limit of the ring, " +
+                      std::to_string(limit("max_prompt_tokens")) + " tokens");
+  }
+  return Done{};
+}
+
 Status CallService::Enqueue(const CallPtr& call) {
+  auto allowed = CheckLimits(*call);
+  if (!allowed) {
+    return allowed;
+  }
   if (config_.IsQuarantined(call->content_digest)) {
     return Refuse(Reason::kQuarantined,
                   "this request crashed upstreams and is not run again");
--- a/src/entry_calls_p.h
+++ b/src/entry_calls_p.h
@@ -66,6 +66,8 @@
                       const Session& session,
                       Call& call) const;
   Status CheckServed(const CallRequest& request);
+  /// Limits of the ring description.
+  Status CheckLimits(const Call& call) const;
   CallPtr NewCall(const CallRequest& request);
   void Measure(Call& call) const;
   Status Enqueue(const CallPtr& call);
--- a/src/entry_http_stream.cc
+++ b/src/entry_http_stream.cc
@@ -111,7 +111,7 @@
 
 void ConnectionStream::CountHeader(char byte) {
   if (++header_bytes_ > limits_.max_header_bytes) {
-    Violate(Refuse(Reason::kBadRequest, "the headers are too long"));
+    Violate(Refuse(Reason::kBodyTooLarge, "the headers are too long"));
     return;
   }
   if (byte == '\r') {
@@ -129,7 +129,7 @@
   line_bytes_ = 0;
   // The request line counts as one.
   if (++headers_ > limits_.max_headers + 1) {
-    Violate(Refuse(Reason::kBadRequest, "too many headers"));
+    Violate(Refuse(Reason::kBodyTooLarge, "too many headers"));
   }
 }
 
@@ -140,10 +140,11 @@
   }
   metrics::CountRefusal(refusal.reason);
   const std::string body = ErrorBody(refusal);
-  const std::string text =
-      "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n"
-      "Connection: close\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string text = "HTTP/1.1 " +
+                           std::to_string(HttpStatusOf(refusal.reason)) +
+                           " Refused\r\nContent-Type: application/json\r\n"
+                           "Connection: close\r\nContent-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n" + body;
   write(text.data(), text.size());
   violated_ = true;
 }
--- a/src/entry_programs.cc
+++ b/src/entry_programs.cc
@@ -12,8 +12,16 @@
   if (!config_.Allows("team", request.team)) {
     return Refuse(Reason::kNotAllowed, "unknown team");
   }
+  const int64_t most =
+      config_.Number("team", request.team, "max_budget_tokens", INT64_MAX);
+  if (request.budget_tokens > most) {
+    return Refuse(Reason::kBudgetExceeded,
+                  "programs of this team have at most " + std::to_string(most) +
+                      " tokens");
+  }
   const bool sub_agent = isValid(request.parent);
-  const auto limit = static_cast<size_t>(init_.call_limits.max_first_queue);
+  const auto limit = static_cast<size_t>(config_.Number(
+      "limit", "max_first_queue", "value", init_.call_limits.max_first_queue));
   if (!sub_agent && scheduler_.waiting() >= limit) {
     return Refuse(Reason::kOverload, "the ring is full for new programs",
                   SpreadMs(scheduler_.ExpectedWaitMs()));
--- a/tests/entry_drain_test.cc
+++ b/tests/entry_drain_test.cc
@@ -98,6 +98,27 @@
   EXPECT_GT(order.fence, 0u);
 }
 
+// Guards against limits of the ring description that are not kept.
+TEST_F(EntryDrain, LimitsAndTeamsOfNote_AreKept) {
+  const std::string program = caller_.Open();
+  ring_.ApplyNote(1,
+                  "{\"added\":[{\"kind\":\"limit\",\"name\":\"max_tokens\","
+                  "\"value\":20},{\"kind\":\"team\",\"name\":\"t\","
+                  "\"max_budget_tokens\":100}]}");
+  const auto open = [&](const std::string& team, int budget) {
+    return caller_.Post("/v1/programs", "{\"team\":\"" + team +
+                                            "\",\"budget_tokens\":" +
+                                            std::to_string(budget) + "}");
+  };
+  EXPECT_TRUE(WaitFor([&] { return open("other", 5).status != 200; }));
+  EXPECT_EQ(open("other", 5).reason(), "not_allowed");
+  EXPECT_EQ(open("t", 101).reason(), "budget_exceeded");
+  EXPECT_EQ(open("t", 100).status, 200);
+  const auto answer = caller_.Ask(program, 1, "hello");
+  EXPECT_EQ(answer.reason(), "token_limit");
+  EXPECT_EQ(answer.run_state(), "not_run");
+}
+
 // Guards against a queue full of calls whose callers have gone.
 TEST_F(EntryDrain, CallerGoneBeforeStart_CallIsDroppedAndNumberStaysFree) {
   ring_.SetEngine("engine-1", 1, {});
