Give releases, control poll and orders their own threads

Cause: an engine that hangs while its state is read delayed cache releases and new configurations, which shared its thread. Change: three duties instead of one.

--- a/src/entry_entry.cc
+++ b/src/entry_entry.cc
@@ -147,9 +147,19 @@
     supervisor.AddDuty("relay", [this](const StopToken& stop) {
       return forwarder.RunRelay(stop);
     });
+    const auto wake_janitor = [this] { janitor.WakeAll(); };
     supervisor.AddDuty(
-        "janitor", [this](const StopToken& stop) { return janitor.Run(stop); },
-        [this] { janitor.Kick(); });
+        "releases",
+        [this](const StopToken& stop) { return janitor.RunReleases(stop); },
+        wake_janitor);
+    supervisor.AddDuty(
+        "control",
+        [this](const StopToken& stop) { return janitor.RunControl(stop); },
+        wake_janitor);
+    supervisor.AddDuty(
+        "orders",
+        [this](const StopToken& stop) { return janitor.RunOrders(stop); },
+        wake_janitor);
     supervisor.AddDuty("drain", [this](const StopToken& stop) {
       constexpr int64_t kPeriodMs = 20;
       while (!stop.WaitFor(kPeriodMs)) {
--- a/src/entry_janitor.cc
+++ b/src/entry_janitor.cc
@@ -12,31 +12,49 @@
       parts_(parts),
       config_(config),
       sessions_(sessions),
-      wake_(1) {}
+      releases_wake_(1),
+      control_wake_(1),
+      orders_wake_(1) {}
 
 void Janitor::Kick() {
-  wake_.TryPush(1);
+  releases_wake_.TryPush(1);
+}
+
+void Janitor::WakeAll() {
+  Kick();
+  control_wake_.TryPush(1);
+  orders_wake_.TryPush(1);
 }
 
 void Janitor::OnPush(uint64_t version) {
   if (version > config_.View()->version) {
-    Kick();
+    control_wake_.TryPush(1);
+  }
+}
+
+Status Janitor::RunReleases(const StopToken& stop) {
+  while (!stop.stopped()) {
+    ReleaseCaches();
+    sessions_.Evict(init_.call_limits.default_idle_ms);
+    releases_wake_.Pop(init_.janitor_period_ms);
   }
+  return Done{};
 }
 
-Status Janitor::Run(const StopToken& stop) {
+Status Janitor::RunControl(const StopToken& stop) {
   while (!stop.stopped()) {
-    Step();
-    wake_.Pop(init_.janitor_period_ms);
+    PollControl();
+    control_wake_.Pop(init_.janitor_period_ms);
   }
   return Done{};
 }
 
-void Janitor::Step() {
-  PollControl();
-  ReleaseCaches();
-  Reconcile();
-  sessions_.Evict(init_.call_limits.default_idle_ms);
+Status Janitor::RunOrders(const StopToken& stop) {
+  while (!stop.stopped()) {
+    Reconcile();
+    orders_wake_.Pop(init_.janitor_period_ms);
+  }
+  return Done{};
 }
 
 void Janitor::PollControl() {
--- a/src/entry_janitor_p.h
+++ b/src/entry_janitor_p.h
@@ -7,8 +7,9 @@
 
 namespace ring::entry {
 
-/// Periodic duties: cache releases of ended programs, control poll,
-/// reconciler. Runs on its own thread.
+/// Periodic duties: cache releases of ended programs, control poll, orders to
+/// engines. Each has its own thread, so that an engine that hangs delays
+/// neither releases nor configuration.
 class Janitor {
  public:
   Janitor(const EntryInit& init,
@@ -16,12 +17,14 @@
           RingConfig& config,
           SessionTable& sessions);
 
-  /// Runs a pass soon.
+  /// Releases caches soon.
   void Kick();
+  /// Ends the waits of all duties.
+  void WakeAll();
   void OnPush(uint64_t version);
-  Status Run(const StopToken& stop);
-  /// One pass.
-  void Step();
+  Status RunReleases(const StopToken& stop);
+  Status RunControl(const StopToken& stop);
+  Status RunOrders(const StopToken& stop);
 
   uint64_t fence() const { return fence_.load(); }
 
@@ -38,8 +41,11 @@
   const EntryParts& parts_;
   RingConfig& config_;
   SessionTable& sessions_;
-  BoundedRing<int> wake_;
+  BoundedRing<int> releases_wake_;
+  BoundedRing<int> control_wake_;
+  BoundedRing<int> orders_wake_;
   std::atomic<uint64_t> fence_{0};
+  // Of the thread that sends orders.
   int64_t lease_until_ms_ = 0;
   int64_t lease_tried_ms_ = INT64_MIN / 2;
   int64_t next_load_ms_ = 0;  ///< Earliest next order that loads weights.
