--- a/src/control_machine.cc
+++ b/src/control_machine.cc
@@ -211,7 +211,11 @@
   snapshot.lost_domains.assign(lost_domains_.begin(), lost_domains_.end());
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(fb::ControlSnapshot::Pack(builder, &snapshot));
-  return SealSnapshot(kSnapshotMagic, kSnapshotVersion, BytesOf(builder));
+  std::string out =
+      BeginSnapshot(kSnapshotMagic, kSnapshotVersion, builder.GetSize());
+  out += BytesOf(builder);
+  SealSnapshot(out);
+  return out;
 }
 
 bool ControlMachine::ReadSnapshot(const fb::ControlSnapshotT& snapshot) {
--- a/src/core_flatbuffer_p.h
+++ b/src/core_flatbuffer_p.h
@@ -80,19 +80,23 @@
   return true;
 }
 
-/// Puts magic and format version before a snapshot body and a checksum after.
-inline std::string SealSnapshot(uint32_t magic,
-                                uint32_t version,
-                                std::string_view body) {
+/// Starts a snapshot with magic and format version.
+/// @param size_hint expected bytes of the body; saves copies of a large one
+inline std::string BeginSnapshot(uint32_t magic,
+                                 uint32_t version,
+                                 size_t size_hint) {
   std::string out;
-  out.reserve(body.size() + 2 * sizeof(uint32_t) + sizeof(uint64_t));
+  out.reserve(size_hint + 2 * sizeof(uint32_t) + sizeof(uint64_t));
   AppendValue(out, magic);
   AppendValue(out, version);
-  out.append(body);
-  AppendValue(out, Checksum(out));
   return out;
 }
 
+/// Ends a snapshot with a checksum over all before.
+inline void SealSnapshot(std::string& snapshot) {
+  AppendValue(snapshot, Checksum(snapshot));
+}
+
 /// @returns the body, or corrupt_data or version_mismatch
 inline Outcome<std::string_view> OpenSnapshot(uint32_t magic,
                                               uint32_t version,
--- a/src/program_apply.cc
+++ b/src/program_apply.cc
@@ -42,6 +42,25 @@
   return BytesOf(builder);
 }
 
+/// Estimate of the texts and the fields around them. Growing a string of many
+/// megabytes step by step would copy it several times.
+template <typename Programs>
+size_t SnapshotBytes(const Programs& programs) {
+  constexpr size_t kFieldBytes = 2'048;
+  constexpr size_t kMessageBytes = 16;
+  size_t bytes = 0;
+  for (const auto& [id, program] : programs) {
+    bytes += kFieldBytes;
+    for (const std::string& message : program.state.history) {
+      bytes += message.size() + kMessageBytes;
+    }
+    for (const CallRecord& call : program.state.calls) {
+      bytes += call.answer.size() + kFieldBytes / kKeptAnswers;
+    }
+  }
+  return bytes;
+}
+
 }  // namespace
 
 std::string ProgramMachine::Apply(uint64_t /*index*/,
@@ -127,17 +146,19 @@
 // One length-prefixed buffer for each program: a single FlatBuffer is limited
 // to 2 GiB and would hold a second copy of the state while it is built.
 std::string ProgramMachine::Save() const {
-  std::string body;
-  AppendValue<uint64_t>(body, programs_.size());
+  std::string out =
+      BeginSnapshot(kSnapshotMagic, kSnapshotVersion, SnapshotBytes(programs_));
+  AppendValue<uint64_t>(out, programs_.size());
   FlatBufferBuilder builder;
   for (const auto& [id, program] : programs_) {
     builder.Clear();
     builder.Finish(WriteProgram(builder, program, /*internals=*/true));
-    AppendValue<uint32_t>(body, builder.GetSize());
-    body.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
-                builder.GetSize());
+    AppendValue<uint32_t>(out, builder.GetSize());
+    out.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
+               builder.GetSize());
   }
-  return SealSnapshot(kSnapshotMagic, kSnapshotVersion, body);
+  SealSnapshot(out);
+  return out;
 }
 
 Status ProgramMachine::Load(std::string_view snapshot) {
