--- a/tools/bench.py
+++ b/tools/bench.py
@@ -53,6 +53,20 @@
     return f"{ringlab.HOST}:{port}"
 
 
+class BenchRing(ringlab.Ring):
+    def all_announced(self):
+        """True if each entry lists each upstream as up."""
+        names = {upstream.name for upstream in self.upstreams}
+        try:
+            statuses = [ringlab.get_json(entry.admin, "/admin/status")
+                        for entry in self.entries]
+        except (OSError, RuntimeError):
+            return False
+        return all(names <= {item["name"] for item in status["upstreams"]
+                             if item.get("up") or item.get("state") == "up"}
+                   for status in statuses)
+
+
 def run_ring(options, run, out):
     """One run on keepers, entries, engines and a service."""
     shape = ringlab.Shape(
@@ -62,8 +76,11 @@
         engines_per_domain=options.engines // 3,
         services_per_domain=1, model=MODEL,
         engine_args=engine_args(run["scenario"], run["seed"]),
-        entry_settings={"policy": run["policy"], **options.entry_settings})
-    with ringlab.Ring(shape) as ring:
+        entry_settings={"policy.name": run["policy"], "http.threads": 512,
+                        "http.max_waiting": 512,
+                        "calls.attempt_threads": 256,
+                        **options.entry_settings})
+    with BenchRing(shape) as ring:
         ring.start()
         ports = {kind: [address(item.port) for item in ring.upstreams
                         if item.kind == kind]
