--- a/tools/ringlab.py
+++ b/tools/ringlab.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import shutil
@@ -22,14 +23,19 @@
 HOST = "127.0.0.1"
 
 
+PORTS = itertools.cycle(range(10000, 30000))
+# Different starts keep two runs at the same time apart.
+for _ in range((os.getpid() * 97) % 19000):
+    next(PORTS)
+
+
 def free_ports(count):
-    """Returns ports that are free now. They are taken below the range that the
-    system uses for outgoing connections, so that none is lost before its
-    process binds it."""
+    """Returns ports that are free now and were not returned before. They are
+    below the range that the system uses for outgoing connections, so that none
+    is lost before its process binds it."""
     ports = []
-    candidate = 10000 + (os.getpid() * 97) % 15000
     while len(ports) < count:
-        candidate = candidate + 1 if candidate < 30000 else 10000
+        candidate = next(PORTS)
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, candidate))
@@ -347,7 +353,7 @@
             for entry in self.entries:
                 status = get_json(entry.admin, "/admin/status")
                 up = {item["name"] for item in status["upstreams"]
-                      if item.get("state") == "up"}
+                      if item["up"]}
                 if not names <= up:
                     return False
         except (OSError, RuntimeError):
@@ -392,23 +398,26 @@
     def stop(self):
         """Stops everything. Returns the names that did not exit with code 0."""
         failed = []
-        for process in self.processes():
-            if process.alive():
-                process.send(signal.SIGCONT)
-        for process in self.processes():
-            was_alive = process.alive()
-            code = process.stop()
-            if was_alive and code != 0:
-                failed.append(f"{process.name}={code}")
-        return failed
+        for nodes in (self.upstreams, self.entries, self.keepers):
+            processes = [node.process for node in nodes
+                         if node.process is not None and node.process.alive()]
+            failed += self._stop_together(processes)
+        return failed + self._stop_together(self.extra)
+
+    @staticmethod
+    def _stop_together(processes):
+        for process in processes:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
+        codes = [(process, process.stop()) for process in processes]
+        return [f"{process.name}={code}" for process, code in codes
+                if code != 0]
 
     def __enter__(self):
         return self
 
     def __exit__(self, kind, value, trace):
-        for process in self.processes():
-            if process.alive():
-                process.stop(timeout=5)
+        self.stop()
         if kind is None and not self.keep:
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
