Make the tests of entries independent of timing and stricter

Cause: under the thread sanitizer the test with two entries saw no contention, the fake's delays were a data race of the test, and two switched-off mechanisms (joining a call under way, waiting for idle before drained) went unnoticed. Change: both entries get each call at once; delays are atomic; a duplicate joins a call longer than the wait for order; drained() implies an empty queue.

--- a/fakes/fake_upstreams.h
+++ b/fakes/fake_upstreams.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -70,9 +71,9 @@
   using Choose =
       std::function<EngineFault(const UpstreamRecord&, const EngineRequest&)>;
 
-  int64_t tokens = 6;            ///< Length of an answer.
-  int64_t token_delay_ms = 0;    ///< Between tokens.
-  int64_t service_delay_ms = 0;  ///< Of a service call.
+  std::atomic<int64_t> tokens = 6;            ///< Length of an answer.
+  std::atomic<int64_t> token_delay_ms = 0;    ///< Between tokens.
+  std::atomic<int64_t> service_delay_ms = 0;  ///< Of a service call.
 
   void OnAttempt(Choose choose) {
     std::lock_guard lock(mutex_);
--- a/tests/entry_drain_test.cc
+++ b/tests/entry_drain_test.cc
@@ -50,6 +50,9 @@
   EXPECT_EQ(refused.run_state(), "not_run");
   EXPECT_FALSE(entry_.entry().drained());
   EXPECT_TRUE(WaitFor([&] { return entry_.entry().drained(); }));
+  const auto status = nlohmann::json::parse(entry_.entry().StatusJson());
+  EXPECT_EQ(status["queue"], 0);
+  EXPECT_EQ(status["in_flight"], 0);
   for (std::thread& thread : threads) {
     thread.join();
   }
--- a/tests/entry_order_test.cc
+++ b/tests/entry_order_test.cc
@@ -1,3 +1,4 @@
+#include <barrier>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -33,7 +34,8 @@
 
 // Guards against a second run when a caller resends during the first.
 TEST_F(EntryOrder, DuplicateDuringCall_JoinsTheAttempt) {
-  ring_.upstreams.service_delay_ms = 100;
+  // Longer than a call waits for its predecessor.
+  ring_.upstreams.service_delay_ms = 800;
   const std::string program = caller_.Open();
   std::vector<std::string> bodies(4);
   std::vector<std::thread> threads;
@@ -109,9 +111,12 @@
   TestEntry second(ring_, TestEntry::DefaultInit("entry-2"));
   const std::string program = caller_.Open();
   constexpr uint64_t kCalls = 25;
+  // Both entries get each call at the same time, so that they contend for each.
+  std::barrier both(2);
   const auto run = [&](TestEntry& entry) {
     Caller caller(entry);
     for (uint64_t sequence = 1; sequence <= kCalls; ++sequence) {
+      both.arrive_and_wait();
       Caller::Answer answer;
       for (int tries = 0; tries < 50; ++tries) {
         answer = caller.CallService(program, sequence, "order/buy",
