--- a/src/entry_janitor.cc
+++ b/src/entry_janitor.cc
@@ -26,10 +26,8 @@
   orders_wake_.TryPush(1);
 }
 
-void Janitor::OnPush(uint64_t version) {
-  if (version > config_.View()->version) {
-    control_wake_.TryPush(1);
-  }
+void Janitor::OnPush() {
+  control_wake_.TryPush(1);
 }
 
 Status Janitor::RunReleases(const StopToken& stop) {
--- a/src/entry_janitor_p.h
+++ b/src/entry_janitor_p.h
@@ -21,7 +21,8 @@
   void Kick();
   /// Ends the waits of all duties.
   void WakeAll();
-  void OnPush(uint64_t version);
+  /// A push may name a new configuration or a new quarantine; both are polled.
+  void OnPush();
   Status RunReleases(const StopToken& stop);
   Status RunControl(const StopToken& stop);
   Status RunOrders(const StopToken& stop);
--- a/tools/ringlab.py
+++ b/tools/ringlab.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import shutil
@@ -22,14 +23,19 @@
 HOST = "127.0.0.1"
 
 
+PORTS = itertools.cycle(range(10000, 30000))
+# Different starts keep two runs at the same time apart.
+for _ in range((os.getpid() * 97) % 19000):
+    next(PORTS)
+
+
 def free_ports(count):
-    """Returns ports that are free now. They are taken below the range that the
-    system uses for outgoing connections, so that none is lost before its
-    process binds it."""
+    """Returns ports that are free now and were not returned before. They are
+    below the range that the system uses for outgoing connections, so that none
+    is lost before its process binds it."""
     ports = []
-    candidate = 10000 + (os.getpid() * 97) % 15000
     while len(ports) < count:
-        candidate = candidate + 1 if candidate < 30000 else 10000
+        candidate = next(PORTS)
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, candidate))
@@ -146,6 +152,7 @@
     model: str = "bracket-agent"
     service: str = "orders"
     engine_args: list = field(default_factory=list)
+    service_args: list = field(default_factory=list)
     entry_settings: dict = field(default_factory=dict)
     keeper_settings: dict = field(default_factory=dict)
 
@@ -289,7 +296,8 @@
         if upstream.kind == "engine":
             args += ["--models", self.shape.model, *self.shape.engine_args]
         else:
-            args += ["--services", self.shape.service]
+            args += ["--services", self.shape.service,
+                     *self.shape.service_args]
         upstream.process = self._process(upstream.name, args)
         upstream.process.start()
 
@@ -392,23 +400,26 @@
     def stop(self):
         """Stops everything. Returns the names that did not exit with code 0."""
         failed = []
-        for process in self.processes():
-            if process.alive():
-                process.send(signal.SIGCONT)
-        for process in self.processes():
-            was_alive = process.alive()
-            code = process.stop()
-            if was_alive and code != 0:
-                failed.append(f"{process.name}={code}")
-        return failed
+        for nodes in (self.upstreams, self.entries, self.keepers):
+            processes = [node.process for node in nodes
+                         if node.process is not None and node.process.alive()]
+            failed += self._stop_together(processes)
+        return failed + self._stop_together(self.extra)
+
+    @staticmethod
+    def _stop_together(processes):
+        for process in processes:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
+        codes = [(process, process.stop()) for process in processes]
+        return [f"{process.name}={code}" for process, code in codes
+                if code != 0]
 
     def __enter__(self):
         return self
 
     def __exit__(self, kind, value, trace):
-        for process in self.processes():
-            if process.alive():
-                process.stop(timeout=5)
+        self.stop()
         if kind is None and not self.keep:
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
