--- a/tools/bench.py
+++ b/tools/bench.py
@@ -95,9 +95,10 @@
         engines_per_domain=options.engines // 3,
         services_per_domain=1, model=MODEL,
         engine_args=engine_args(run["scenario"], run["seed"]),
-        entry_settings={"policy.name": run["policy"], "http.threads": 512,
-                        "http.max_waiting": 512,
-                        "calls.attempt_threads": 256,
+        # Nested: a key with a dot in its name is ignored by the settings.
+        entry_settings={"policy": {"name": run["policy"]},
+                        "http": {"threads": 512, "max_waiting": 512},
+                        "calls": {"attempt_threads": 256},
                         **options.entry_settings})
     with BenchRing(shape) as ring:
         ring.start()
