--- a/src/entry_entry.cc
+++ b/src/entry_entry.cc
@@ -130,9 +130,10 @@
     const auto stop_http = [](entry::HttpServer& server) {
       return [&server] { server.stop(); };
     };
-    supervisor.AddDuty("scheduler", [this](const StopToken& stop) {
-      return scheduler.Run(stop);
-    });
+    supervisor.AddDuty(
+        "scheduler",
+        [this](const StopToken& stop) { return scheduler.Run(stop); },
+        [this] { scheduler.Wake(); });
     for (int64_t i = 0; i < init.call_limits.attempt_threads; ++i) {
       supervisor.AddDuty("attempt", [this](const StopToken& stop) {
         return attempts.Run(stop);
@@ -146,8 +147,19 @@
     supervisor.AddDuty("relay", [this](const StopToken& stop) {
       return forwarder.RunRelay(stop);
     });
+    const auto wake_janitor = [this] { janitor.WakeAll(); };
+    supervisor.AddDuty(
+        "releases",
+        [this](const StopToken& stop) { return janitor.RunReleases(stop); },
+        wake_janitor);
+    supervisor.AddDuty(
+        "control",
+        [this](const StopToken& stop) { return janitor.RunControl(stop); },
+        wake_janitor);
     supervisor.AddDuty(
-        "janitor", [this](const StopToken& stop) { return janitor.Run(stop); });
+        "orders",
+        [this](const StopToken& stop) { return janitor.RunOrders(stop); },
+        wake_janitor);
     supervisor.AddDuty("drain", [this](const StopToken& stop) {
       constexpr int64_t kPeriodMs = 20;
       while (!stop.WaitFor(kPeriodMs)) {
@@ -247,8 +259,8 @@
   return impl_->StatusText();
 }
 
-void Entry::OnControlPush(uint64_t version) {
-  impl_->janitor.OnPush(version);
+void Entry::OnControlPush() {
+  impl_->janitor.OnPush();
 }
 
 void Entry::OnOpened(SessionHandle, const PeerInfo&) {}
