Copy what decisions need of a program into its queued calls

Cause: a call is queued under the lock of its session, and the scheduler only tried that lock, so the policy mostly saw neither cached prefixes nor received service (docs/measurements.md: zarqa at 100 %, p95 32.3 s and 339,935 tokens computed again). Change: the call carries them; after a takeover the engine of the last call counts as holder of the history.

--- a/src/entry_call_p.h
+++ b/src/entry_call_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -116,6 +117,12 @@
   uint64_t root_key = 0;
   int64_t arrival_ms = 0;
   int64_t program_start_ms = 0;
+  // What decisions need of the program, copied when the call is queued: the
+  // lock of the session is held during store calls, and a decision must not
+  // wait for it.
+  std::map<UpstreamId, int64_t> cached;  ///< Prefix tokens by engine.
+  int64_t attained_service_ms = 0;
+  uint64_t turns = 0;
   int64_t deadline_ms = 0;       ///< Of its program, monotonic.
   int64_t call_deadline_ms = 0;  ///< Of the waiting caller, monotonic.
   std::vector<std::string> new_messages;
--- a/src/entry_calls.cc
+++ b/src/entry_calls.cc
@@ -286,6 +286,9 @@
   call->program_key = Checksum(state.id.text());
   call->root_key = session->root_key.load();
   call->program_start_ms = session->start_ms;
+  call->cached = session->cached;
+  call->attained_service_ms = session->attained_service_ms;
+  call->turns = state.turns;
   call->deadline_ms = session->deadline_ms;
   Measure(*call);
   if (call->reserve_tokens > state.budget_tokens - state.used_tokens) {
--- a/src/entry_scheduler.cc
+++ b/src/entry_scheduler.cc
@@ -246,17 +246,9 @@
       call->request.kind == CallKind::kModel
           ? statistics_.ExpectedOutput(call->request.max_tokens)
           : 0;
-  std::map<UpstreamId, int64_t> cached;
-  // The lock may be held during a store call; a decision must not wait for it.
-  std::unique_lock<std::mutex> lock;
   if (call->session) {
-    lock = std::unique_lock(call->session->mutex, std::try_to_lock);
-  }
-  if (lock.owns_lock()) {
-    cached = call->session->cached;
-    view.attained_service_ms = call->session->attained_service_ms;
-    view.expected_remaining_calls =
-        statistics_.ExpectedRemaining(call->session->state.turns);
+    view.attained_service_ms = call->attained_service_ms;
+    view.expected_remaining_calls = statistics_.ExpectedRemaining(call->turns);
   }
   const auto& records = cycle.directory->upstreams;
   for (size_t i = 0; i < cycle.input.upstreams.size(); ++i) {
@@ -268,8 +260,8 @@
     if (Contains(call->failed, records[i].id)) {
       view.failed.push_back(handle);
     }
-    const auto found = cached.find(records[i].id);
-    if (found != cached.end()) {
+    const auto found = call->cached.find(records[i].id);
+    if (found != call->cached.end()) {
       view.cached.push_back(
           {handle, std::min(found->second, call->prompt_tokens)});
     }
--- a/src/entry_sessions.cc
+++ b/src/entry_sessions.cc
@@ -173,6 +173,29 @@
   session.start_ms = now_ms - (wall_ms - state.opened_wall_ms);
   session.deadline_ms = now_ms + (state.deadline_wall_ms - wall_ms);
   session.root_key = RootKeyOf(state);
+  session.cached = CachedAfter(state);
+}
+
+// The engine of the last call holds the history. Its memory may have been
+// reused since; then the engine computes the prefix again.
+std::map<UpstreamId, int64_t> SessionTable::CachedAfter(
+    const ProgramState& state) {
+  std::map<UpstreamId, int64_t> cached;
+  int64_t tokens = 0;
+  for (const std::string& message : state.history) {
+    tokens += CountTokens(message.size());
+  }
+  const auto& holders = state.cache_holders;
+  for (auto call = state.calls.rbegin(); call != state.calls.rend(); ++call) {
+    const bool held =
+        !call->tried.empty() && std::find(holders.begin(), holders.end(),
+                                          call->tried.back()) != holders.end();
+    if (held) {
+      cached[call->tried.back()] = tokens;
+      break;
+    }
+  }
+  return cached;
 }
 
 uint64_t SessionTable::RootKeyOf(const ProgramState& state) const {
--- a/src/entry_sessions_p.h
+++ b/src/entry_sessions_p.h
@@ -89,6 +89,7 @@
   Status Acquire(const ProgramId& id, Session& session);
   void Fill(Session& session, const ProgramState& state);
   uint64_t RootKeyOf(const ProgramState& state) const;
+  static std::map<UpstreamId, int64_t> CachedAfter(const ProgramState& state);
 
   const EntryInit& init_;
   const EntryParts& parts_;
