Answer polls of the control group with changes instead of whole views

A flat key with a dot in a settings file was accepted and never read. Closing the metrics server took 2 s at exit. Change: the control group remembers which items the latest 1,024 notes touched and answers those; nodes merge them. Dotted keys are errors. The metrics server is not destroyed at exit.

--- a/include/persimmonring/control.h
+++ b/include/persimmonring/control.h
@@ -62,7 +62,11 @@
   uint64_t version = 0;      ///< Number of accepted notes.
   uint64_t note_number = 0;  ///< Number of the latest note.
   std::string note_digest;
+  /// 0: `items` is the whole description. Else `items` and `withdrawn` are what
+  /// changed since this version.
+  uint64_t base_version = 0;
   std::map<std::string, std::string> items;  ///< "kind/name" to JSON text.
+  std::vector<std::string> withdrawn;        ///< Keys; only in changes.
   /// Grows with each change of the two lists below.
   uint64_t quarantine_version = 0;
   /// Digests of refused requests, oldest first, at most kMaxQuarantined.
@@ -111,6 +115,11 @@
   virtual Outcome<std::vector<NodeVersion>> NodeVersions() = 0;
 };
 
+/// Brings a whole view up to date with a poll's answer, which may be whole or
+/// only the changes. Versions never go back.
+/// @returns false if there was nothing newer, or if changes do not fit the view
+bool MergeControlView(ControlView& view, const ControlView& news);
+
 std::unique_ptr<StateMachineI> CreateControlMachine();
 
 /// Encoded commands and queries of the control state machine.
--- a/src/control_codec.cc
+++ b/src/control_codec.cc
@@ -84,9 +84,10 @@
   const auto items_offset = builder.CreateVector(items);
   const auto quarantined = builder.CreateVectorOfStrings(view.quarantined);
   const auto lost = builder.CreateVectorOfStrings(view.lost_domains);
+  const auto withdrawn = builder.CreateVectorOfStrings(view.withdrawn);
   const auto result = fb::CreateControlViewResult(
       builder, view.version, view.note_number, digest, items_offset,
-      view.quarantine_version, quarantined, lost);
+      view.quarantine_version, quarantined, lost, view.base_version, withdrawn);
   builder.Finish(fb::CreateControlResult(builder, 0, 0, 0, 0, result));
   return BytesOf(builder);
 }
@@ -184,6 +185,12 @@
       out.items.emplace(TextOf(item->key()), TextOf(item->text()));
     }
   }
+  out.base_version = in->base_version();
+  if (in->withdrawn() != nullptr) {
+    for (const flatbuffers::String* key : *in->withdrawn()) {
+      out.withdrawn.emplace_back(TextOf(key));
+    }
+  }
   if (in->quarantined() != nullptr) {
     for (const flatbuffers::String* digest : *in->quarantined()) {
       out.quarantined.emplace_back(TextOf(digest));
--- a/src/control_machine.cc
+++ b/src/control_machine.cc
@@ -13,6 +13,8 @@
 constexpr uint32_t kSnapshotVersion = 1;
 constexpr int64_t kMaxLeaseMs = 3'600'000;
 constexpr size_t kMaxDigestBytes = 128;
+// A node that missed more notes gets the whole view.
+constexpr size_t kKeptChanges = 1'024;
 
 Refusal Refuse(Reason reason, std::string message) {
   return {reason, RunState::kNotRun, std::move(message)};
@@ -81,6 +83,10 @@
     return status.refusal();
   }
   AppendRawDigest(digests_, digest);
+  touched_.push_back(KeysOfNote(note.body));
+  if (touched_.size() > kKeptChanges) {
+    touched_.pop_front();
+  }
   return NoteResult{note.number, version(), digest, false};
 }
 
@@ -166,7 +172,34 @@
   }
   const bool news = view->have_version() < version() ||
                     view->have_quarantine() < quarantine_version_;
-  return control_result::Encode(news ? CurrentView() : ControlView());
+  return control_result::Encode(
+      news ? ViewSince(view->have_version(), view->have_quarantine())
+           : ControlView());
+}
+
+ControlView ControlMachine::ViewSince(uint64_t have_version,
+                                      uint64_t have_quarantine) const {
+  ControlView view = CurrentView();
+  if (have_quarantine >= quarantine_version_) {
+    view.quarantined.clear();
+  }
+  const uint64_t missed = version() - std::min(have_version, version());
+  if (have_version == 0 || missed > touched_.size()) {
+    return view;
+  }
+  view.base_version = have_version;
+  view.items.clear();
+  for (size_t i = touched_.size() - missed; i < touched_.size(); ++i) {
+    for (const std::string& key : touched_[i]) {
+      const auto found = items_.find(key);
+      if (found != items_.end()) {
+        view.items[key] = found->second;
+      } else {
+        view.withdrawn.push_back(key);
+      }
+    }
+  }
+  return view;
 }
 
 ControlView ControlMachine::CurrentView() const {
@@ -256,6 +289,33 @@
   return Done{};
 }
 
+bool MergeControlView(ControlView& view, const ControlView& news) {
+  bool changed = false;
+  const bool fits = news.base_version == 0 || news.base_version == view.version;
+  if (news.version > view.version && fits) {
+    if (news.base_version == 0) {
+      view.items = news.items;
+    }
+    for (const auto& [key, text] : news.items) {
+      view.items[key] = text;
+    }
+    for (const std::string& key : news.withdrawn) {
+      view.items.erase(key);
+    }
+    view.version = news.version;
+    view.note_number = news.note_number;
+    view.note_digest = news.note_digest;
+    changed = true;
+  }
+  if (news.quarantine_version > view.quarantine_version) {
+    view.quarantine_version = news.quarantine_version;
+    view.quarantined = news.quarantined;
+    view.lost_domains = news.lost_domains;
+    changed = true;
+  }
+  return changed;
+}
+
 std::unique_ptr<StateMachineI> CreateControlMachine() {
   return std::make_unique<ControlMachine>();
 }
--- a/src/control_note.cc
+++ b/src/control_note.cc
@@ -189,4 +189,15 @@
   return Done{};
 }
 
+std::set<std::string> KeysOfNote(const std::string& body) {
+  const json note = ParseNoteBody(body);
+  std::set<std::string> keys;
+  for (const char* section : kSections) {
+    for (const json& item : note.value(section, json::array())) {
+      keys.insert(ItemKey(item));
+    }
+  }
+  return keys;
+}
+
 }  // namespace ring
--- a/src/control_note_p.h
+++ b/src/control_note_p.h
@@ -3,6 +3,7 @@
 /// Bodies of release notes.
 
 #include <map>
+#include <set>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -18,6 +19,9 @@
 /// @returns "kind/name"
 std::string ItemKey(const nlohmann::json& item);
 
+/// @returns the keys of all items that a body adds, changes or withdraws
+std::set<std::string> KeysOfNote(const std::string& body);
+
 /// Applies a body that passed CheckNote.
 /// @returns bad_request, without any change, if an added item exists or a
 ///          changed or withdrawn one does not
--- a/src/control_state_p.h
+++ b/src/control_state_p.h
@@ -41,6 +41,8 @@
   Status AddQuarantine(const fb::ControlQuarantine& command);
   Status LoseDomain(const fb::ControlDomainLost& command);
   ControlView CurrentView() const;
+  /// @returns what changed, or the whole view if `have_version` is too old
+  ControlView ViewSince(uint64_t have_version, uint64_t have_quarantine) const;
   bool ReadSnapshot(const fb::ControlSnapshotT& snapshot);
   uint64_t version() const;
   std::string DigestOfNote(uint64_t number) const;
@@ -50,6 +52,10 @@
   /// gets its first answer again. 5,100 notes a day take 163 KB a day.
   std::string digests_;
   std::map<std::string, std::string> items_;
+  /// Keys that the latest notes touched, one set for each, newest last. Not
+  /// part of the snapshot: a replica that has just loaded one answers whole
+  /// views.
+  std::deque<std::set<std::string>> touched_;
   std::map<std::string, Lease> leases_;
   uint64_t next_fence_ = 1;
   uint64_t quarantine_version_ = 0;
--- a/src/entry_config.cc
+++ b/src/entry_config.cc
@@ -26,21 +26,8 @@
 bool RingConfig::Update(const ControlView& view) {
   std::lock_guard lock(mutex_);
   auto next = std::make_shared<ControlView>(*view_);
-  bool changed = false;
-  if (view.version > next->version) {
-    const uint64_t quarantine_version = next->quarantine_version;
-    auto quarantined = next->quarantined;
-    *next = view;
-    next->quarantine_version = quarantine_version;
-    next->quarantined = std::move(quarantined);
-    changed = true;
-  }
-  if (view.quarantine_version > next->quarantine_version) {
-    next->quarantine_version = view.quarantine_version;
-    next->quarantined = view.quarantined;
-    quarantined_.insert(view.quarantined.begin(), view.quarantined.end());
-    changed = true;
-  }
+  const bool changed = MergeControlView(*next, view);
+  quarantined_.insert(view.quarantined.begin(), view.quarantined.end());
   if (changed) {
     view_ = std::move(next);
   }
--- a/src/runtime_metrics.cc
+++ b/src/runtime_metrics.cc
@@ -91,10 +91,11 @@
 }
 
 Status Serve(const Endpoint& endpoint) {
-  // The exposer lives as long as the process.
-  static std::unique_ptr<prometheus::Exposer> exposer;
+  // Never destroyed: closing its server takes 2 s, which would delay the exit
+  // of a process that has already stopped serving.
+  prometheus::Exposer* exposer = nullptr;
   try {
-    exposer = std::make_unique<prometheus::Exposer>(endpoint.ToString());
+    exposer = new prometheus::Exposer(endpoint.ToString());
   } catch (const std::exception& error) {
     return Refusal{Reason::kStorageFailed, RunState::kNotRun,
                    "cannot listen on " + endpoint.ToString()};
--- a/src/runtime_settings.cc
+++ b/src/runtime_settings.cc
@@ -238,6 +238,11 @@
                      const std::string& inner) {
     for (const auto& [key, value] : object.items()) {
       const std::string dotted = JoinPath(inner, key);
+      if (key.find('.') != std::string::npos) {
+        AddError(JoinPath(prefix, dotted),
+                 "is not a known setting; sections are nested objects");
+        continue;
+      }
       const bool known =
           std::any_of(table.begin(), table.end(),
                       [&](const auto& spec) { return spec.key == dotted; });
--- a/tests/runtime_settings_test.cc
+++ b/tests/runtime_settings_test.cc
@@ -76,6 +76,14 @@
   EXPECT_EQ(found, expected);
 }
 
+// Guards against a flat key with a dot that is accepted but never read.
+TEST(SettingsParse, DottedKey_IsRefused) {
+  const auto result = ParseSettings(
+      Table(), "f.json", R"({"node": "e1", "limits.max_body_bytes": 5})");
+  ASSERT_EQ(result.errors.size(), 1u);
+  EXPECT_EQ(result.errors[0].key, "limits.max_body_bytes");
+}
+
 TEST(SettingsParse, BrokenJson_NamesTheLine) {
   const auto result = ParseSettings(Table(), "f.json", "{\n\"node\": \n}");
   ASSERT_EQ(result.errors.size(), 1u);
