--- a/apps/ringctl/output.cc
+++ b/apps/ringctl/output.cc
@@ -110,7 +110,7 @@
   const int folder =
       ::open(full.parent_path().c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   const bool synced = folder >= 0 && ::fsync(folder) == 0;
-  const Status status =
+  Status status =
       synced ? Status(Done{}) : Status(FileRefusal(path, "cannot be synced"));
   if (folder >= 0) {
     ::close(folder);
