--- a/tests/docs_lists_test.cc
+++ b/tests/docs_lists_test.cc
@@ -1,4 +1,6 @@
+#include <filesystem>
 #include <fstream>
+#include <regex>
 #include <set>
 #include <sstream>
 #include <string>
@@ -29,5 +31,49 @@
   }
 }
 
+// First group of each match of the pattern in the sources.
+std::set<std::string> NamesInSources(const std::regex& pattern) {
+  std::set<std::string> names;
+  for (const char* folder : {"/src", "/apps"}) {
+    for (const auto& file : std::filesystem::recursive_directory_iterator(
+             std::string(RING_SOURCE_DIR) + folder)) {
+      if (file.path().extension() != ".cc") {
+        continue;
+      }
+      std::ifstream input(file.path());
+      std::ostringstream text;
+      text << input.rdbuf();
+      const std::string source = text.str();
+      for (std::sregex_iterator it(source.begin(), source.end(), pattern), end;
+           it != end; ++it) {
+        names.insert((*it)[1]);
+      }
+    }
+  }
+  return names;
+}
+
+// Guards against a metric that operators cannot look up.
+TEST(MetricsPage, EveryMetricOfTheCode_IsListed) {
+  const std::string page = ReadDoc("metrics.md");
+  const auto names = NamesInSources(
+      std::regex("(?:Count|SetGauge|ObserveMs)\\(\\s*\"(ring_[a-z_]+)\""));
+  EXPECT_GT(names.size(), 30u);
+  for (const std::string& name : names) {
+    EXPECT_NE(page.find("`" + name + "`"), std::string::npos) << name;
+  }
+}
+
+// Guards against an event that operators cannot look up.
+TEST(EventsPage, EveryEventOfTheCode_IsListed) {
+  const std::string page = ReadDoc("metrics.md");
+  const auto names = NamesInSources(
+      std::regex("Event\\(\\s*LogLevel::k[A-Za-z]+,\\s*\"([a-z_]+)\""));
+  EXPECT_GT(names.size(), 20u);
+  for (const std::string& name : names) {
+    EXPECT_NE(page.find("`" + name + "`"), std::string::npos) << name;
+  }
+}
+
 }  // namespace
 }  // namespace ring
