Repeat releases while a call may still reach the engine; confirm the first view

Cause: an owner stopped between its begin record and its request filled the engine's cache after the release had been confirmed, and if it then died the memory stayed. An entry that had just started could take an old configuration from a keeper that is cut off, and was ready before it had any. Releases of an engine that is down could fill a pass of 64 and delay all others. Change: a release is confirmed only when the call's outcome is known or 60 s have passed; the first view is read behind the read barrier and /readyz waits for it, at most 10 s; a pass takes 1,024 releases. Test changes: FinishAfterEnd expected the early confirmation that was the fault, and now expects the release to stay pending; End_KeepsHolders finishes its call before the end so that it still checks the confirmation by upstream and incarnation.

--- a/src/entry_entry.cc
+++ b/src/entry_entry.cc
@@ -57,9 +57,13 @@
       out.set_content("ok\n", "text/plain");
     });
     admin.Get("/readyz", [this](const Request&, Response& out) {
-      const bool ready = drain_started_ms.load() == 0;
+      const bool draining = drain_started_ms.load() != 0;
+      const bool ready = !draining && HasConfig();
       out.status = ready ? 200 : 503;
-      out.set_content(ready ? "ready\n" : "draining\n", "text/plain");
+      out.set_content(ready      ? "ready\n"
+                      : draining ? "draining\n"
+                                 : "no configuration yet\n",
+                      "text/plain");
     });
     admin.Get("/admin/status", [this](const Request&, Response& out) {
       out.set_content(StatusText(), "application/json");
@@ -70,6 +74,14 @@
     });
   }
 
+  // An entry whose domain is cut off from the control group serves what it can,
+  // so it does not wait for a configuration for ever.
+  bool HasConfig() const {
+    constexpr int64_t kConfigWaitMs = 10'000;
+    return janitor.has_polled() ||
+           parts.clock->NowMs() - created_ms >= kConfigWaitMs;
+  }
+
   void BeginDrain() {
     int64_t none = 0;
     const int64_t now_ms = std::max<int64_t>(1, parts.clock->NowMs());
@@ -201,6 +213,7 @@
   entry::HttpServer admin;
   uint16_t http_port = 0;
   uint16_t admin_port = 0;
+  const int64_t created_ms = parts.clock->NowMs();
   std::atomic<int64_t> drain_started_ms{0};
   std::atomic<bool> closing{false};
 };
--- a/src/entry_janitor.cc
+++ b/src/entry_janitor.cc
@@ -64,6 +64,7 @@
                    {{"reason", ToString(view.refusal().reason)}});
     return;
   }
+  has_polled_.store(true);
   if (config_.Update(*view)) {
     const auto now = config_.View();
     metrics::SetGauge("ring_control_version", {},
@@ -75,7 +76,9 @@
 }
 
 void Janitor::ReleaseCaches() {
-  constexpr size_t kReleasesPerPass = 64;
+  // Releases of an engine that is down stay pending and must not keep those of
+  // others out of a pass.
+  constexpr size_t kReleasesPerPass = 1'024;
   const auto gate = sessions_.gate().Check(init_.domain);
   if (!gate) {
     return;
--- a/src/entry_janitor_p.h
+++ b/src/entry_janitor_p.h
@@ -28,6 +28,8 @@
   Status RunOrders(const StopToken& stop);
 
   uint64_t fence() const { return fence_.load(); }
+  /// @returns true once the control group has answered a poll
+  bool has_polled() const { return has_polled_.load(); }
 
  private:
   void PollControl();
@@ -45,6 +47,7 @@
   BoundedRing<int> releases_wake_;
   BoundedRing<int> control_wake_;
   BoundedRing<int> orders_wake_;
+  std::atomic<bool> has_polled_{false};
   std::atomic<uint64_t> fence_{0};
   // Of the thread that sends orders.
   int64_t lease_until_ms_ = 0;
--- a/src/keeper_client_stores.cc
+++ b/src/keeper_client_stores.cc
@@ -94,8 +94,10 @@
     const auto name = TextIn(builder, node);
     builder.Finish(
         fb::CreateControlPoll(builder, name, have_version, have_quarantine));
-    return Decoded(Call(fb::KeeperOp::ControlPoll, BytesOf(builder)),
-                   control_codec::DecodeView);
+    const auto polled =
+        Decoded(Call(fb::KeeperOp::ControlPoll, BytesOf(builder)),
+                control_codec::DecodeView);
+    return have_version == 0 ? FirstView(polled) : polled;
   }
   Outcome<ReconcilerLease> AcquireLease(const std::string& domain,
                                         const std::string& entry,
@@ -120,6 +122,25 @@
   }
 
  private:
+  // A node without a version has just started. A poll may be answered by a
+  // keeper that is cut off and hand out an older version than the node had in
+  // force before, so the first view is read behind the read barrier. Without a
+  // majority the polled view is all there is.
+  Outcome<ControlView> FirstView(const Outcome<ControlView>& polled) {
+    auto confirmed =
+        Decoded(client_.Query(kControlGroup, control_codec::EncodeView(0, 0)),
+                control_codec::DecodeView);
+    if (confirmed) {
+      return confirmed;
+    }
+    if (polled) {
+      Event(LogLevel::kWarn, "control_version_unconfirmed")
+          .Add("version", polled->version)
+          .Add("reason", confirmed.refusal().reason);
+    }
+    return polled;
+  }
+
   static Outcome<std::vector<NodeVersion>> DecodeVersions(
       std::string_view payload) {
     const FlatView<fb::NodeVersions> view(payload);
--- a/src/program_machine.cc
+++ b/src/program_machine.cc
@@ -11,6 +11,10 @@
 /// owner may have died, and calls end long before this.
 constexpr int64_t kMaxCallMs = 1'800'000;
 
+/// An owner that has been stopped for longer than this adds the holder again
+/// when its outcome is refused.
+constexpr int64_t kUnsentCallMs = 60'000;
+
 Refusal UnknownProgram() {
   return Refuse(Reason::kUnknownProgram, "no such program in this domain");
 }
@@ -244,6 +248,17 @@
   }
 }
 
+// The owner may have been stopped between its begin record and the request. It
+// then fills the engine's cache after the release, so the release is repeated
+// until the outcome of the call is known or its owner is taken for dead.
+bool ProgramMachine::MayStillReach(const StoredProgram& program,
+                                   const UpstreamId& upstream) const {
+  const CallRecord* call = program.CallUnderWay();
+  return call != nullptr && program.call_holds_cache && !call->tried.empty() &&
+         call->tried.back() == upstream &&
+         now_ms_ - program.ended_wall_ms < kUnsentCallMs;
+}
+
 Status ProgramMachine::ConfirmRelease(
     const fb::ProgramConfirmRelease& command) {
   const ProgramId id = ReadId(command.id());
@@ -257,7 +272,12 @@
   if (!program->state.ended) {
     return Refuse(Reason::kNotAllowed, "the program has not ended");
   }
-  std::erase(program->state.cache_holders, ReadUpstream(command.upstream()));
+  const UpstreamId upstream = ReadUpstream(command.upstream());
+  if (MayStillReach(*program, upstream)) {
+    return Refuse(Reason::kNotAllowed,
+                  "the call under way may still reach the upstream");
+  }
+  std::erase(program->state.cache_holders, upstream);
   IndexTombstone(*program);
   return Done{};
 }
--- a/src/program_machine_calls.cc
+++ b/src/program_machine_calls.cc
@@ -277,6 +277,7 @@
   if (was_under_way && program.call_holds_cache && !call->tried.empty()) {
     // The call may have filled the cache after its release was confirmed.
     AddHolder(program.state.cache_holders, call->tried.back());
+    program.call_holds_cache = false;  // The next release is the last.
     IndexTombstone(program);
   }
   return Refuse(Reason::kProgramEnded, "the program ended during the call");
--- a/src/program_machine_p.h
+++ b/src/program_machine_p.h
@@ -40,6 +40,8 @@
   Outcome<const StoredProgram*> Acquire(const fb::ProgramAcquire& command);
   Status End(const fb::ProgramEnd& command);
   Status ConfirmRelease(const fb::ProgramConfirmRelease& command);
+  bool MayStillReach(const StoredProgram& program,
+                     const UpstreamId& upstream) const;
   void Expire();
   void EndTree(const std::string& id, Reason reason);
   void EndOne(StoredProgram& program, Reason reason);
--- a/tests/program_machine_test.cc
+++ b/tests/program_machine_test.cc
@@ -181,6 +181,7 @@
   Run(OpenOf(child_, 30, id_));
   Run(OpenOf(TestId(3), 10, child_));
   Run(BeginOf(id_, 1, 1));
+  Run(FinishOf(id_, 1, 1));
   Run(BeginOf(TestId(3), 1, 2));
   ASSERT_EQ(Confirm(id_, kEngine), Reason::kNotAllowed) << "not ended";
   ASSERT_EQ(End(id_), Reason::kNone);
@@ -209,6 +210,22 @@
   Run(BeginOf(id_, 1, 1));
   End(id_);
   Confirm(id_, kEngine);
+  EXPECT_EQ(PendingCount(), 1u) << "the request may not have been sent yet";
+  EXPECT_EQ(Run(FinishOf(id_, 1, 1)), Reason::kProgramEnded);
+  EXPECT_EQ(PendingCount(), 1u) << "the call filled the cache once more";
+  Confirm(id_, kEngine);
+  EXPECT_EQ(PendingCount(), 0u);
+  EXPECT_EQ(Run(FinishOf(id_, 1, 1)), Reason::kProgramEnded);
+}
+
+// Guards against a tombstone that stays for ever after its owner died, and
+// against memory that an owner stopped for minutes fills unnoticed.
+TEST_F(ProgramMachineTest, OwnerSilentAfterEnd_ReleaseIsConfirmedAfterAMinute) {
+  Run(OpenOf(id_, 100));
+  Run(BeginOf(id_, 1, 1));
+  End(id_);
+  now_ms_ += 61'000;
+  Confirm(id_, kEngine);
   EXPECT_EQ(PendingCount(), 0u);
   EXPECT_EQ(Run(FinishOf(id_, 1, 1)), Reason::kProgramEnded);
   EXPECT_EQ(PendingCount(), 1u);
