--- /dev/null
+++ b/tools/check_examples.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Checks every settings file under examples/ with its binary.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+count=0
+for file in examples/*/*.json; do
+  case "$(basename "$file")" in
+    keeper-*) build/ringkeeper --config "$file" --check ;;
+    entry-*) build/ringentry --config "$file" --check ;;
+    *) continue ;;
+  esac
+  count=$((count + 1))
+done
+echo "examples: $count settings files are valid"
