Share the log settings and cross-setting checks of the binaries

Cause: ringentry and ringkeeper had the same rows, level names and error lists twice, and ringkeeper used a private header of the runtime library; errors of ringentry's own checks named line 1. Change: LogSettingRows, LogInitOf, SettingErrorList and a check function of LoadSettings in runtime.h; both binaries use them.

--- a/apps/ringentry/entry_settings.cc
+++ b/apps/ringentry/entry_settings.cc
@@ -69,15 +69,7 @@
        .type = SettingType::kChoice,
        .default_value = "program",
        .choices = {"program", "fcfs-round-robin", "fcfs-least-in-flight"},
-       .doc = "Scheduling policy."},
-      {.key = "log.level",
-       .type = SettingType::kChoice,
-       .default_value = "info",
-       .choices = {"debug", "info", "warn", "error"},
-       .doc = "Least severe level that is logged."},
-      {.key = "log.file",
-       .type = SettingType::kString,
-       .doc = "Log file; empty: standard error."}};
+       .doc = "Scheduling policy."}};
 }
 
 SettingTable HttpRows() {
@@ -182,12 +174,12 @@
 
 void CheckAddresses(const Settings& settings,
                     const std::string& key,
-                    const std::string& file,
-                    std::vector<SettingError>& errors) {
-  for (const std::string& text : settings.StringList(key)) {
-    if (!Endpoint::Parse(text)) {
-      errors.push_back(
-          {file, 1, key, "\"" + text + "\" is not an address \"ip:port\""});
+                    SettingErrorList& errors) {
+  const auto& list = settings.StringList(key);
+  for (size_t i = 0; i < list.size(); ++i) {
+    if (!Endpoint::Parse(list[i])) {
+      errors.Add(key + "[" + std::to_string(i) + "]",
+                 "\"" + list[i] + "\" is not an address \"ip:port\"");
     }
   }
 }
@@ -196,21 +188,20 @@
 
 SettingTable EntrySettingTable() {
   SettingTable table = NodeRows();
-  for (const SettingTable& rows : {HttpRows(), CallRows(), DutyRows()}) {
+  for (const SettingTable& rows :
+       {LogSettingRows(), HttpRows(), CallRows(), DutyRows()}) {
     table.insert(table.end(), rows.begin(), rows.end());
   }
   return table;
 }
 
-std::vector<SettingError> CheckEntrySettings(const Settings& settings,
-                                             const std::string& file) {
-  std::vector<SettingError> errors;
-  CheckAddresses(settings, "keepers", file, errors);
-  CheckAddresses(settings, "seeds", file, errors);
+void CheckEntrySettings(const Settings& settings, SettingErrorList& errors) {
+  CheckAddresses(settings, "keepers", errors);
+  CheckAddresses(settings, "seeds", errors);
   const std::string& domain = settings.String("domain");
   if (domain.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") !=
       std::string::npos) {
-    errors.push_back({file, 1, "domain", "must consist of a-z, 0-9 and '-'"});
+    errors.Add("domain", "must consist of a-z, 0-9 and '-'");
   }
   const std::vector<std::string> keys = {"http_address", "admin_address",
                                          "metrics_address", "wire_address"};
@@ -218,16 +209,15 @@
     for (size_t j = 0; j < i; ++j) {
       const Endpoint address = settings.Address(keys[i]);
       if (isValid(address) && address == settings.Address(keys[j])) {
-        errors.push_back({file, 1, keys[i], "is the same as " + keys[j]});
+        errors.Add(keys[i], "is the same as " + keys[j]);
       }
     }
   }
   if (settings.Int("calls.default_max_tokens") >
       settings.Int("calls.max_tokens")) {
-    errors.push_back({file, 1, "calls.default_max_tokens",
-                      "must not be above calls.max_tokens"});
+    errors.Add("calls.default_max_tokens",
+               "must not be above calls.max_tokens");
   }
-  return errors;
 }
 
 std::vector<Endpoint> ToEndpoints(const std::vector<std::string>& list) {
@@ -303,17 +293,4 @@
   return init;
 }
 
-LogInit ToLogInit(const Settings& settings) {
-  const std::string& name = settings.String("log.level");
-  LogInit init;
-  init.process = "ringentry";
-  init.node = settings.String("node");
-  init.level = name == "debug"   ? LogLevel::kDebug
-               : name == "warn"  ? LogLevel::kWarn
-               : name == "error" ? LogLevel::kError
-                                 : LogLevel::kInfo;
-  init.file = settings.String("log.file");
-  return init;
-}
-
 }  // namespace ring
--- a/apps/ringentry/entry_settings.h
+++ b/apps/ringentry/entry_settings.h
@@ -12,13 +12,11 @@
 SettingTable EntrySettingTable();
 
 /// Checks what a single row cannot express.
-std::vector<SettingError> CheckEntrySettings(const Settings& settings,
-                                             const std::string& file);
+void CheckEntrySettings(const Settings& settings, SettingErrorList& errors);
 
 EntryInit ToEntryInit(const Settings& settings);
 Hub::Init ToHubInit(const Settings& settings);
 KeeperClientInit ToKeeperClientInit(const Settings& settings);
-LogInit ToLogInit(const Settings& settings);
 /// @returns the endpoints of a checked list of "ip:port"
 std::vector<Endpoint> ToEndpoints(const std::vector<std::string>& list);
 
--- a/apps/ringentry/main.cc
+++ b/apps/ringentry/main.cc
@@ -149,7 +149,7 @@
 }
 
 int Run(const Settings& settings) {
-  InitLog(ToLogInit(settings));
+  InitLog(LogInitOf(settings, "ringentry"));
   Router router;
   auto hub = Hub::Create(ToHubInit(settings), router);
   if (!hub) {
@@ -187,14 +187,12 @@
     std::cerr << "ringentry: --config is needed\n";
     return kExitUsage;
   }
-  SettingsResult result = LoadSettings(EntrySettingTable(), options.config);
-  if (result.settings) {
-    result.errors = CheckEntrySettings(*result.settings, options.config);
-  }
+  const SettingsResult result =
+      LoadSettings(EntrySettingTable(), options.config, CheckEntrySettings);
   for (const SettingError& error : result.errors) {
     std::cerr << error.ToString() << "\n";
   }
-  if (!result.errors.empty() || !result.settings) {
+  if (!result.settings) {
     return kExitBadSettings;
   }
   return options.check ? kExitOk : Run(*result.settings);
--- a/apps/ringkeeper/keeper_settings.cc
+++ b/apps/ringkeeper/keeper_settings.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <set>
 
-#include "runtime_settings_p.h"
-
 namespace ring {
 namespace {
 
@@ -86,26 +84,6 @@
   };
 }
 
-// Collects errors with the line of the key.
-class ErrorList {
- public:
-  ErrorList(std::string file, const std::string& text)
-      : file_(std::move(file)), positions_(LocateKeys(text)) {}
-
-  void Add(const std::string& path, const std::string& message) {
-    const auto found = positions_.line_of_path.find(path);
-    const int line = found == positions_.line_of_path.end() ? 1 : found->second;
-    errors_.push_back({file_, line, path, message});
-  }
-
-  std::vector<SettingError> Take() { return std::move(errors_); }
-
- private:
-  const std::string file_;
-  const KeyPositions positions_;
-  std::vector<SettingError> errors_;
-};
-
 std::string ItemPath(const std::string& list, size_t i) {
   return list + "[" + std::to_string(i) + "]";
 }
@@ -114,7 +92,7 @@
                   const Settings& group,
                   const std::set<std::string>& keepers,
                   const std::string& path,
-                  ErrorList& errors) {
+                  SettingErrorList& errors) {
   std::set<int64_t> ids;
   bool self = group.ObjectList("initial_members").empty();
   size_t i = 0;
@@ -183,26 +161,15 @@
              "Log length that triggers a snapshot."),
       Number("hand_over_ms", "ms", "3000", 0, 60'000,
              "Longest wait for another keeper to take over leadership at a "
-             "graceful shutdown."),
-      {.key = "log.level",
-       .type = SettingType::kChoice,
-       .default_value = "info",
-       .choices = {"debug", "info", "warn", "error"},
-       .doc = "Least severe level that is logged."},
-      {.key = "log.file",
-       .type = SettingType::kString,
-       .doc = "Log file; empty: standard error."}};
-  for (SettingSpec& row : LimitRows()) {
-    table.push_back(std::move(row));
+             "graceful shutdown.")};
+  for (const SettingTable& rows : {LogSettingRows(), LimitRows()}) {
+    table.insert(table.end(), rows.begin(), rows.end());
   }
   return table;
 }
 
-std::vector<SettingError> CheckKeeperSettings(const Settings& settings,
-                                              const std::string& file,
-                                              const std::string& text) {
+void CheckKeeperSettings(const Settings& settings, SettingErrorList& errors) {
   constexpr int64_t kMinHeartbeatsPerElection = 3;
-  ErrorList errors(file, text);
   std::set<std::string> keepers;
   size_t i = 0;
   for (const Settings& keeper : settings.ObjectList("keepers")) {
@@ -231,7 +198,6 @@
       kMinHeartbeatsPerElection * settings.Int("heartbeat_ticks")) {
     errors.Add("election_ticks", "must be at least 3 * heartbeat_ticks");
   }
-  return errors.Take();
 }
 
 KeeperHostInit ToHostInit(const Settings& settings) {
@@ -280,17 +246,4 @@
   return init;
 }
 
-LogInit ToLogInit(const Settings& settings) {
-  const std::string& name = settings.String("log.level");
-  LogInit init;
-  init.process = "ringkeeper";
-  init.node = settings.String("node");
-  init.level = name == "debug"   ? LogLevel::kDebug
-               : name == "warn"  ? LogLevel::kWarn
-               : name == "error" ? LogLevel::kError
-                                 : LogLevel::kInfo;
-  init.file = settings.String("log.file");
-  return init;
-}
-
 }  // namespace ring
--- a/apps/ringkeeper/main.cc
+++ b/apps/ringkeeper/main.cc
@@ -1,6 +1,4 @@
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <CLI/CLI.hpp>
 
@@ -38,21 +36,12 @@
 
 // Reads the file and reports every mistake in it.
 std::optional<Settings> ReadSettings(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream) {
-    std::cerr << file << ": cannot be read\n";
-    return std::nullopt;
-  }
-  std::stringstream text;
-  text << stream.rdbuf();
-  SettingsResult result = ParseSettings(KeeperSettingTable(), file, text.str());
-  if (result.settings) {
-    result.errors = CheckKeeperSettings(*result.settings, file, text.str());
-  }
+  const SettingsResult result =
+      LoadSettings(KeeperSettingTable(), file, CheckKeeperSettings);
   for (const SettingError& error : result.errors) {
     std::cerr << error.ToString() << "\n";
   }
-  return result.errors.empty() ? result.settings : std::nullopt;
+  return result.settings;
 }
 
 void HandOver(KeeperHost& host, int64_t limit_ms) {
@@ -107,7 +96,7 @@
 }
 
 int Run(const Settings& settings, bool initialize) {
-  InitLog(ToLogInit(settings));
+  InitLog(LogInitOf(settings, "ringkeeper"));
   KeeperHostInit init = ToHostInit(settings);
   init.initialize = initialize;
   auto host = KeeperHost::Create(init, SystemClock());
--- a/include/persimmonring/runtime.h
+++ b/include/persimmonring/runtime.h
@@ -369,8 +369,34 @@
 SettingsResult ParseSettings(const SettingTable& table,
                              const std::string& file,
                              const std::string& text);
+/// Collects errors of checks that span several settings.
+class SettingErrorList {
+ public:
+  /// @param text contents of the file, for line numbers
+  SettingErrorList(std::string file, const std::string& text);
+  /// @param path key, with list positions as "[i]"
+  void Add(const std::string& path, const std::string& message);
+  std::vector<SettingError> Take() { return std::move(errors_); }
+
+ private:
+  const std::string file_;
+  std::map<std::string, int> lines_;
+  std::vector<SettingError> errors_;
+};
+
+/// Further checks of settings that have passed their table.
+using SettingsCheck = std::function<void(const Settings&, SettingErrorList&)>;
+
 /// Reads and checks a file.
-SettingsResult LoadSettings(const SettingTable& table, const std::string& file);
+SettingsResult LoadSettings(const SettingTable& table,
+                            const std::string& file,
+                            const SettingsCheck& check = {});
+
+/// Settings of the log that all processes have: "log.level" and "log.file".
+SettingTable LogSettingRows();
+/// Reads them, and "node".
+LogInit LogInitOf(const Settings& settings, const std::string& process);
+
 /// @returns the table as Markdown rows for docs/settings.md
 std::string DescribeSettings(const SettingTable& table);
 
--- a/src/runtime_settings.cc
+++ b/src/runtime_settings.cc
@@ -304,15 +304,59 @@
   return {std::move(settings), {}};
 }
 
+SettingErrorList::SettingErrorList(std::string file, const std::string& text)
+    : file_(std::move(file)), lines_(LocateKeys(text).line_of_path) {}
+
+void SettingErrorList::Add(const std::string& path,
+                           const std::string& message) {
+  const auto found = lines_.find(path);
+  const int line = found == lines_.end() ? 1 : found->second;
+  errors_.push_back({file_, line, path, message});
+}
+
 SettingsResult LoadSettings(const SettingTable& table,
-                            const std::string& file) {
+                            const std::string& file,
+                            const SettingsCheck& check) {
   std::ifstream input(file, std::ios::binary);
   if (!input) {
     return {std::nullopt, {{file, 0, "", "cannot be read"}}};
   }
   std::ostringstream text;
   text << input.rdbuf();
-  return ParseSettings(table, file, text.str());
+  SettingsResult result = ParseSettings(table, file, text.str());
+  if (result.settings && check) {
+    SettingErrorList errors(file, text.str());
+    check(*result.settings, errors);
+    result.errors = errors.Take();
+    if (!result.errors.empty()) {
+      result.settings.reset();
+    }
+  }
+  return result;
+}
+
+SettingTable LogSettingRows() {
+  return {{.key = "log.level",
+           .type = SettingType::kChoice,
+           .default_value = "info",
+           .choices = {"debug", "info", "warn", "error"},
+           .doc = "Least severe level that is logged."},
+          {.key = "log.file",
+           .type = SettingType::kString,
+           .doc = "Log file; empty: standard error."}};
+}
+
+LogInit LogInitOf(const Settings& settings, const std::string& process) {
+  const std::string& name = settings.String("log.level");
+  LogInit init;
+  init.process = process;
+  init.node = settings.String("node");
+  init.level = name == "debug"   ? LogLevel::kDebug
+               : name == "warn"  ? LogLevel::kWarn
+               : name == "error" ? LogLevel::kError
+                                 : LogLevel::kInfo;
+  init.file = settings.String("log.file");
+  return init;
 }
 
 std::string DescribeSettings(const SettingTable& table) {
