--- a/src/program_machine.cc
+++ b/src/program_machine.cc
@@ -37,9 +37,11 @@
 Refusal RefuseEnded(const ProgramState& state) {
   const bool expired = state.end_reason == Reason::kDeadlinePassed ||
                        state.end_reason == Reason::kProgramExpired;
-  return Refuse(
-      expired ? Reason::kProgramExpired : Reason::kProgramEnded,
-      std::string("the program has ended: ") + ToString(state.end_reason));
+  return Refuse(expired ? Reason::kProgramExpired : Reason::kProgramEnded,
+                state.end_reason == Reason::kNone
+                    ? std::string("the program was ended by its caller")
+                    : std::string("the program has ended: ") +
+                          ToString(state.end_reason));
 }
 
 void AddHolder(std::vector<UpstreamId>& holders, const UpstreamId& upstream) {
