--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -7,13 +7,16 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "persimmonring/control.h"
 #include "persimmonring/log.h"
+#include "persimmonring/net.h"
 #include "persimmonring/program.h"
 #include "persimmonring/runtime.h"
+#include "persimmonring/state.h"
 #include "persimmonring/wire.h"
 
 namespace ring {
@@ -21,6 +24,9 @@
 /// Name of the group that holds the control state.
 constexpr char kControlGroup[] = "control";
 
+/// Session of requests that a keeper sends to itself.
+constexpr SessionHandle kLocalSession{UINT64_MAX};
+
 // -------------------------------------------------------------- keeper process
 
 /// A replica that this process runs.
@@ -49,6 +55,21 @@
   /// start of a replica id: a replica whose data was lost has forgotten its
   /// vote, and must not come back under its old id.
   bool initialize = false;
+  /// Members change by themselves: keepers without a place ask to join, lost
+  /// and retired voters are replaced by learners. Only for groups that this
+  /// holds for on each of their keepers.
+  bool automatic_members = false;
+  size_t max_voters = SIZE_MAX;  ///< Further members stay learners.
+  /// Tells keepers from entries by their node name. Empty: those in `keepers`.
+  std::function<bool(const std::string& node)> is_keeper;
+  /// Called on the thread of a group after its members have changed.
+  std::function<void(const std::string& group, const LogConfig& config)>
+      on_members;
+  /// Addresses whose voters are to be replaced; called on the thread of a
+  /// group.
+  std::function<std::set<std::string>()> retired_nodes;
+  /// Receives the replies to frames that came with kLocalSession.
+  std::function<void(const Frame& frame)> on_local_reply;
   /// Empty: the control and program state machines.
   std::function<std::unique_ptr<StateMachineI>(const std::string& group)>
       create_machine;
@@ -57,6 +78,46 @@
       open_disk;
 };
 
+/// A keeper that asks for a place in a group.
+struct JoinRequest {
+  ReplicaNumber id = 0;
+  std::string node;
+
+  auto operator<=>(const JoinRequest&) const = default;
+};
+
+/// What a leader decides a change of members from.
+struct MembershipInput {
+  ReplicaNumber self = 0;
+  uint64_t commit_index = 0;
+  std::vector<MemberProgress> members;
+  std::vector<JoinRequest> joins;        ///< Heard a moment ago.
+  std::set<std::string> retired;         ///< Addresses to be emptied.
+  size_t max_voters = SIZE_MAX;
+  int64_t lost_ticks = 0;                ///< Silence after which one is lost.
+
+  auto operator<=>(const MembershipInput&) const = default;
+};
+
+struct MembershipChange {
+  enum class Kind : uint8_t { kNone, kAdd, kRemove };
+  Kind kind = Kind::kNone;
+  ReplicaNumber id = 0;
+  std::string node;
+  std::string why;
+
+  auto operator<=>(const MembershipChange&) const = default;
+};
+
+/// @returns the address of a keeper named "keeper@<ip>:<port>", else the whole
+///          name
+std::string AddressOfKeeper(const std::string& node);
+
+/// Chooses the next change of members, one at a time. A voter is removed only
+/// if its disk is known to be lost or a learner that has caught up takes its
+/// place.
+MembershipChange PlanMembership(const MembershipInput& input);
+
 /// Runs the replicas of one process: a thread for each group. Raft and keeper
 /// frames go in by OnFrame, answers go out through the hub.
 class KeeperHost final : public HubListenerI {
@@ -148,4 +209,50 @@
 std::unique_ptr<ProgramStoreI> CreateProgramStore(KeeperClient& client);
 std::unique_ptr<ControlStoreI> CreateControlStore(KeeperClient& client);
 
+// ---------------------------------------------------------------- state client
+
+/// Non-blocking client of the state group, for one loop. Finds the leader and
+/// repeats a command until it is answered; commands are safe to repeat.
+class StateClient {
+ public:
+  struct Init {
+    /// Wait for one keeper before the next is asked.
+    int64_t attempt_timeout_ms = 500;
+    /// Pause after each known keeper has refused.
+    int64_t round_pause_ms = 30;
+  };
+  using Callback = std::function<void(const Outcome<fb::StateResultT>&)>;
+
+  StateClient(const Init& init, HubI& hub, EventLoop& loop);
+  ~StateClient();
+  StateClient(const StateClient&) = delete;
+  StateClient& operator=(const StateClient&) = delete;
+
+  /// Proposes a command. The callback runs on the loop; after a failure the
+  /// command may still take effect unless the run state is not_run.
+  void Propose(const std::string& command,
+               int64_t timeout_ms,
+               Callback callback);
+  /// Asks a certain keeper for what it has applied.
+  void QueryLocal(SessionHandle session,
+                  const std::string& query,
+                  int64_t timeout_ms,
+                  Callback callback);
+  /// Asks the leader, which confirms that it still leads.
+  void Query(const std::string& query, int64_t timeout_ms, Callback callback);
+
+  // Events of the hub, on the loop thread.
+  void OnOpened(SessionHandle session, const std::string& node);
+  void OnClosed(SessionHandle session);
+  void OnReply(SessionHandle session,
+               const std::string& node,
+               uint64_t correlation,
+               const std::string& payload);
+  bool connected() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
 }  // namespace ring
--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -120,6 +120,9 @@
   virtual std::string Save() const = 0;
   /// @returns corrupt_data if the snapshot cannot be decoded
   virtual Status Load(std::string_view snapshot) = 0;
+  /// @returns a command that the leader proposes once a second, to expire old
+  ///          records; empty: none
+  virtual std::string ExpireCommand() const { return {}; }
 };
 
 // --------------------------------------------------------------- durable store
@@ -319,6 +322,8 @@
     size_t max_append_bytes = 1u << 20;    ///< Entries of one message.
     size_t max_snapshot_chunk = 1u << 20;  ///< At most 1 MiB.
     size_t max_inflight_appends = 64;      ///< Unanswered, for each member.
+    /// Learners stay learners while the group has this many voters.
+    size_t max_voters = SIZE_MAX;
     /// Reads the saved snapshot for a member that is too far behind.
     std::function<std::shared_ptr<const Snapshot>()> load_snapshot;
   };
--- /dev/null
+++ b/src/gateway_chains_p.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstddef>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace ring {
+
+/// Bodies of whole chains by the turn they end with, least recently used first
+/// out. A hint: the state group decides whether a turn exists.
+class ChainCache {
+ public:
+  using Text = std::shared_ptr<const std::string>;
+
+  explicit ChainCache(size_t max_bytes) : max_bytes_(max_bytes) {}
+  Text Find(const std::string& turn);
+  void Put(const std::string& turn, Text text);
+  size_t bytes() const { return bytes_; }
+
+ private:
+  struct Entry {
+    Text text;
+    std::list<std::string>::iterator position;
+  };
+  const size_t max_bytes_;
+  size_t bytes_ = 0;
+  std::list<std::string> order_;  // Most recently used first.
+  std::unordered_map<std::string, Entry> entries_;
+};
+
+}  // namespace ring
--- /dev/null
+++ b/src/gateway_gateway.cc
@@ -0,0 +1,394 @@
+#include <algorithm>
+
+#include "core_flatbuffer_p.h"
+#include "directory.generated.h"
+#include "gateway_p.h"
+
+namespace ring {
+namespace {
+
+// A suspected upstream gets no request for this time if others are ready; it
+// doubles with each further failure.
+constexpr int64_t kFirstSuspectMs = 300;
+constexpr int64_t kMaxSuspectMs = 4'000;
+// A keeper that did not hand out the configuration is asked again after this.
+constexpr int64_t kConfigRetryMs = 150;
+constexpr int64_t kConfigTimeoutMs = 1'000;
+constexpr int64_t kDrainCheckMs = 50;
+// Left for the process to end before it is killed.
+constexpr int64_t kGraceMarginMs = 400;
+constexpr int64_t kPruneMs = 5'000;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+UpstreamTable::Report ToReport(const fb::UpstreamRecord& row) {
+  UpstreamTable::Report report;
+  UpstreamInstance& upstream = report.upstream;
+  upstream.instance = TextOf(row.instance());
+  upstream.service = TextOf(row.service());
+  upstream.address =
+      Endpoint::Parse(TextOf(row.address())).value_or(Endpoint{});
+  upstream.domain = TextOf(row.domain());
+  upstream.version = TextOf(row.version());
+  upstream.slots = row.slots();
+  upstream.born_ms = row.born_ms();
+  upstream.sequence = row.sequence();
+  upstream.cold_left_ms = row.cold_left_ms();
+  upstream.state = static_cast<UpstreamState>(std::min<uint8_t>(
+      row.state(), static_cast<uint8_t>(UpstreamState::kGone)));
+  report.heard = row.heard();
+  return report;
+}
+
+}  // namespace
+
+class Gateway::Impl::ReadyHandler final : public HttpServerHandlerI {
+ public:
+  explicit ReadyHandler(const Gateway::Impl& gateway) : gateway_(gateway) {}
+  void OnRequest(HttpServerConnection& connection,
+                 HttpRequest request) override {
+    if (request.head.target != "/ready") {
+      return connection.Respond(kNotFound, {}, "");
+    }
+    connection.Respond(gateway_.ready() ? kOk : kUnavailable, {}, "");
+  }
+  void OnPeerGone(HttpServerConnection& /*connection*/) override {}
+
+ private:
+  const Gateway::Impl& gateway_;
+};
+
+Gateway::Impl::Impl(const GatewayInit& init,
+                    const CallerProtocolI& protocol,
+                    EventLoop& loop)
+    : init_(init),
+      protocol_(protocol),
+      loop_(loop),
+      pool_(loop),
+      chains_(init.chain_cache_bytes) {}
+
+Gateway::Impl::~Impl() = default;
+
+Status Gateway::Impl::Start(HubI& hub) {
+  hub_ = &hub;
+  state_ = std::make_unique<StateClient>(StateClient::Init{}, hub, loop_);
+  auto server = HttpServer::Create(loop_, init_.listen, *this);
+  if (!server) {
+    return server.refusal();
+  }
+  server_ = std::move(*server);
+  ready_handler_ = std::make_unique<ReadyHandler>(*this);
+  auto ready = HttpServer::Create(loop_, init_.ready_listen, *ready_handler_);
+  if (!ready) {
+    return ready.refusal();
+  }
+  ready_server_ = std::move(*ready);
+  AddKeepers(init_.keepers);
+  loop_.Every(kPruneMs, [this] { upstreams_.Prune(); });
+  return Done{};
+}
+
+void Gateway::Impl::AddKeepers(const std::vector<Endpoint>& keepers) {
+  for (const Endpoint& keeper : keepers) {
+    hub_->Connect(keeper);
+  }
+}
+
+bool Gateway::Impl::ready() const {
+  return table_ != nullptr && !draining_;
+}
+
+std::string Gateway::Impl::RegionOf(const std::string& domain) const {
+  const auto found = init_.regions.find(domain);
+  return found == init_.regions.end() ? domain : found->second;
+}
+
+// ------------------------------------------------------------------- keepers
+
+void Gateway::Impl::OnSession(SessionHandle session, const std::string& node) {
+  state_->OnOpened(session, node);
+  Event(LogLevel::kInfo, "keeper_connected").Add("keeper", node);
+}
+
+void Gateway::Impl::OnSessionEnd(SessionHandle session,
+                                 const std::string& node) {
+  announced_.erase(session);
+  state_->OnClosed(session);
+  Event(LogLevel::kWarn, "keeper_lost").Add("keeper", node);
+}
+
+void Gateway::Impl::OnKeeperFrame(SessionHandle session,
+                                  const std::string& node,
+                                  const Frame& frame) {
+  switch (frame.kind) {
+    case FrameKind::KeeperReply:
+      return state_->OnReply(session, node, frame.correlation, frame.payload);
+    case FrameKind::UpstreamUpdate:
+      return OnUpstreamUpdate(node, frame.payload);
+    case FrameKind::ConfigNotice:
+      return OnConfigNotice(session, frame.payload);
+    case FrameKind::KeeperList:
+      return OnKeeperList(frame.payload);
+    default:
+      return;
+  }
+}
+
+void Gateway::Impl::OnUpstreamUpdate(const std::string& node,
+                                     const std::string& payload) {
+  const FlatView<fb::UpstreamUpdate> update(payload);
+  if (!update) {
+    Event(LogLevel::kWarn, "upstream_update_unreadable").Add("keeper", node);
+    return;
+  }
+  std::vector<UpstreamTable::Report> reports;
+  if (update->upstreams() != nullptr) {
+    for (const fb::UpstreamRecord* row : *update->upstreams()) {
+      UpstreamTable::Report report = ToReport(*row);
+      if (report.upstream.service.empty()) {
+        // Only the departure of an incarnation is known.
+        upstreams_.Depart({report.upstream.instance, report.upstream.born_ms,
+                           report.upstream.state == UpstreamState::kGone});
+        continue;
+      }
+      Event(LogLevel::kInfo, "upstream_reported")
+          .Add("upstream", report.upstream.instance)
+          .Add("address", report.upstream.address.ToString())
+          .Add("state", int{static_cast<uint8_t>(report.upstream.state)})
+          .Add("heard", report.heard)
+          .Add("sequence", report.upstream.sequence)
+          .Add("keeper", node);
+      reports.push_back(std::move(report));
+    }
+  }
+  upstreams_.Merge(node, update->whole(), reports);
+}
+
+void Gateway::Impl::OnConfigNotice(SessionHandle session,
+                                   const std::string& payload) {
+  const FlatView<fb::ConfigNotice> notice(payload);
+  if (notice) {
+    announced_[session] = notice->version();
+    FetchConfiguration();
+  }
+}
+
+void Gateway::Impl::FetchConfiguration() {
+  const uint64_t held = table_ ? table_->version() : 0;
+  const auto newest = std::max_element(
+      announced_.begin(), announced_.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (fetching_ || newest == announced_.end() || newest->second <= held) {
+    return;
+  }
+  fetching_ = true;
+  state_->QueryLocal(
+      newest->first, state_codec::EncodeQuery(true), kConfigTimeoutMs,
+      [this](const Outcome<fb::StateResultT>& outcome) {
+        fetching_ = false;
+        if (!outcome) {
+          Event(LogLevel::kWarn, "configuration_not_fetched")
+              .Add("detail", outcome.refusal().message);
+          loop_.After(kConfigRetryMs, [this] { FetchConfiguration(); });
+          return;
+        }
+        Install(outcome->document);
+        FetchConfiguration();
+      });
+}
+
+void Gateway::Impl::Install(const std::string& document) {
+  const auto parsed = protocol_.ParseConfiguration(document);
+  if (!parsed) {
+    Event(LogLevel::kError, "configuration_unreadable")
+        .Add("detail", parsed.refusal().message);
+    return;
+  }
+  const uint64_t held = table_ ? table_->version() : 0;
+  if ((*parsed)->version() <= held) {
+    return;
+  }
+  table_ = *parsed;
+  server_->SetLimits(table_->limits());
+  Event(LogLevel::kInfo, "configuration_installed")
+      .Add("version", table_->version())
+      .Add("before", held)
+      .Add("routes", uint64_t{table_->routes().size()});
+}
+
+void Gateway::Impl::OnKeeperList(const std::string& payload) {
+  const FlatView<fb::KeeperList> list(payload);
+  if (!list || list->addresses() == nullptr) {
+    return;
+  }
+  for (const auto* text : *list->addresses()) {
+    if (const auto endpoint = Endpoint::Parse(TextOf(text))) {
+      hub_->Connect(*endpoint);
+    }
+  }
+}
+
+// ------------------------------------------------------------------- requests
+
+void Gateway::Impl::OnRequest(HttpServerConnection& connection,
+                              HttpRequest request) {
+  auto call =
+      std::make_unique<GatewayCall>(*this, connection, std::move(request));
+  GatewayCall* const raw = call.get();
+  calls_[raw] = std::move(call);
+  by_connection_[&connection] = raw;
+  raw->Begin();
+}
+
+void Gateway::Impl::OnPeerGone(HttpServerConnection& connection) {
+  const auto found = by_connection_.find(&connection);
+  if (found != by_connection_.end()) {
+    GatewayCall* const call = found->second;
+    by_connection_.erase(found);
+    call->OnCallerGone();
+  }
+}
+
+void Gateway::Impl::OnDrained(HttpServerConnection& connection) {
+  const auto found = by_connection_.find(&connection);
+  if (found != by_connection_.end()) {
+    found->second->OnCallerDrained();
+  }
+}
+
+void Gateway::Impl::Remove(GatewayCall* call) {
+  std::erase_if(by_connection_,
+                [call](const auto& item) { return item.second == call; });
+  loop_.Defer([this, call] { calls_.erase(call); });
+}
+
+void Gateway::Impl::NoteEnded(const std::string& instance) {
+  const auto found = in_flight_.find(instance);
+  if (found != in_flight_.end() && --found->second <= 0) {
+    in_flight_.erase(found);
+  }
+}
+
+void Gateway::Impl::NoteFailure(const UpstreamInstance& upstream,
+                                Reason reason) {
+  Suspect& suspect = suspects_[upstream.instance];
+  suspect.pause_ms =
+      std::clamp(suspect.pause_ms * 2, kFirstSuspectMs, kMaxSuspectMs);
+  suspect.until_ms = loop_.now_ms() + suspect.pause_ms;
+  Event(LogLevel::kInfo, "upstream_suspected")
+      .Add("upstream", upstream.instance)
+      .Add("reason", reason)
+      .Add("for_ms", suspect.pause_ms);
+}
+
+std::optional<UpstreamInstance> Gateway::Impl::Place(
+    const std::string& service,
+    const GatewayCall& call) const {
+  const ServiceSpec* spec = table_->FindService(service);
+  PlacementInput input;
+  input.engine = spec != nullptr && spec->engine.has_value();
+  input.prompt_tokens = call.info().prompt_tokens;
+  input.random = call.random();
+  const auto ready = upstreams_.Ready(service);
+  for (const UpstreamInstance* upstream : ready) {
+    PlacementCandidate candidate;
+    candidate.instance = upstream->instance;
+    candidate.same_domain = upstream->domain == init_.domain;
+    candidate.same_region = RegionOf(upstream->domain) == init_.region;
+    candidate.slots = upstream->slots;
+    const auto load = in_flight_.find(upstream->instance);
+    candidate.in_flight = load == in_flight_.end() ? 0 : load->second;
+    if (upstream->instance == call.last_upstream()) {
+      candidate.cached_tokens = call.info().prompt_tokens;
+    }
+    candidate.tried = call.tried().contains(upstream->instance);
+    const auto suspect = suspects_.find(upstream->instance);
+    candidate.suspected = suspect != suspects_.end() &&
+                          suspect->second.until_ms > loop_.now_ms();
+    candidate.cold = upstream->cold_left_ms > 0;
+    input.candidates.push_back(std::move(candidate));
+  }
+  const auto chosen = PlaceRequest(input);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  return *ready[*chosen];
+}
+
+// --------------------------------------------------------------------- ending
+
+void Gateway::Impl::Drain(std::function<void()> done) {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  drained_ = std::move(done);
+  drain_started_ms_ = loop_.now_ms();
+  server_->StopKeepAlive();
+  Event(LogLevel::kInfo, "draining")
+      .Add("connections", uint64_t{server_->connections()})
+      .Add("requests", uint64_t{calls_.size()});
+  loop_.Every(kDrainCheckMs, [this] { CheckDrained(); });
+}
+
+// New connections arrive until the balancer has noticed; callers also go on
+// using the ones that are open.
+void Gateway::Impl::CheckDrained() {
+  const int64_t since_ms = loop_.now_ms() - drain_started_ms_;
+  if (since_ms < init_.drain_notice_ms) {
+    return;
+  }
+  server_->CloseIdle();
+  const bool empty = server_->connections() == 0 && calls_.empty();
+  if ((empty || since_ms > init_.grace_ms - kGraceMarginMs) && drained_) {
+    Event(LogLevel::kInfo, "drained")
+        .Add("requests_left", uint64_t{calls_.size()})
+        .Add("took_ms", since_ms);
+    std::exchange(drained_, nullptr)();
+  }
+}
+
+// ---------------------------------------------------------------- public class
+
+Gateway::Gateway(const GatewayInit& init,
+                 const CallerProtocolI& protocol,
+                 EventLoop& loop)
+    : impl_(std::make_unique<Impl>(init, protocol, loop)) {}
+Gateway::~Gateway() = default;
+
+Status Gateway::Start(HubI& hub) {
+  return impl_->Start(hub);
+}
+
+void Gateway::AddKeepers(const std::vector<Endpoint>& keepers) {
+  impl_->AddKeepers(keepers);
+}
+
+void Gateway::Drain(std::function<void()> done) {
+  impl_->Drain(std::move(done));
+}
+
+void Gateway::OnOpened(SessionHandle session, const PeerInfo& peer) {
+  impl_->loop().Post([this, session, node = peer.node] {
+    impl_->OnSession(session, node);
+  });
+}
+
+void Gateway::OnFrame(SessionHandle session,
+                      const PeerInfo& peer,
+                      const Frame& frame) {
+  impl_->loop().Post([this, session, node = peer.node, frame] {
+    impl_->OnKeeperFrame(session, node, frame);
+  });
+}
+
+void Gateway::OnClosed(SessionHandle session,
+                       const PeerInfo& peer,
+                       Reason /*reason*/) {
+  impl_->loop().Post([this, session, node = peer.node] {
+    impl_->OnSessionEnd(session, node);
+  });
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/gateway_p.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "gateway_chains_p.h"
+#include "gateway_pool_p.h"
+#include "persimmonring/gateway.h"
+
+namespace ring {
+
+class GatewayCall;
+
+class Gateway::Impl final : public HttpServerHandlerI {
+ public:
+  Impl(const GatewayInit& init,
+       const CallerProtocolI& protocol,
+       EventLoop& loop);
+  ~Impl() override;
+
+  Status Start(HubI& hub);
+  void AddKeepers(const std::vector<Endpoint>& keepers);
+  void Drain(std::function<void()> done);
+
+  // Events of the hub, on the loop thread.
+  void OnSession(SessionHandle session, const std::string& node);
+  void OnSessionEnd(SessionHandle session, const std::string& node);
+  void OnKeeperFrame(SessionHandle session,
+                     const std::string& node,
+                     const Frame& frame);
+
+  // HttpServerHandlerI
+  void OnRequest(HttpServerConnection& connection,
+                 HttpRequest request) override;
+  void OnPeerGone(HttpServerConnection& connection) override;
+  void OnDrained(HttpServerConnection& connection) override;
+
+  // For calls.
+  struct Placement {
+    UpstreamInstance upstream;
+    ConnectionPool::Connection connection;
+  };
+  /// @param service where the call is to run
+  /// @param tried instances that have answered this call before
+  std::optional<UpstreamInstance> Place(const std::string& service,
+                                        const GatewayCall& call) const;
+  void NoteSent(const std::string& instance) { ++in_flight_[instance]; }
+  void NoteEnded(const std::string& instance);
+  void NoteFailure(const UpstreamInstance& upstream, Reason reason);
+  void NoteSuccess(const std::string& instance) { suspects_.erase(instance); }
+  void Remove(GatewayCall* call);
+
+  const GatewayInit& init() const { return init_; }
+  const CallerProtocolI& protocol() const { return protocol_; }
+  EventLoop& loop() { return loop_; }
+  StateClient& state() { return *state_; }
+  ConnectionPool& pool() { return pool_; }
+  ChainCache& chains() { return chains_; }
+  std::shared_ptr<const RouteTable> table() const { return table_; }
+  std::string RegionOf(const std::string& domain) const;
+
+ private:
+  struct Suspect {
+    int64_t until_ms = 0;
+    int64_t pause_ms = 0;
+  };
+  class ReadyHandler;
+
+  void OnUpstreamUpdate(const std::string& node, const std::string& payload);
+  void OnConfigNotice(SessionHandle session, const std::string& payload);
+  void OnKeeperList(const std::string& payload);
+  void FetchConfiguration();
+  void Install(const std::string& document);
+  bool ready() const;
+  void CheckDrained();
+  void LogCounters();
+
+  const GatewayInit init_;
+  const CallerProtocolI& protocol_;
+  EventLoop& loop_;
+  HubI* hub_ = nullptr;
+  std::unique_ptr<StateClient> state_;
+  ConnectionPool pool_;
+  ChainCache chains_;
+  std::shared_ptr<const RouteTable> table_;
+  std::map<SessionHandle, uint64_t> announced_;  ///< Versions by keeper.
+  bool fetching_ = false;
+  UpstreamTable upstreams_;
+  std::unordered_map<std::string, int32_t> in_flight_;  ///< By instance.
+  std::unordered_map<std::string, Suspect> suspects_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<ReadyHandler> ready_handler_;
+  std::unique_ptr<HttpServer> ready_server_;
+  std::unordered_map<GatewayCall*, std::unique_ptr<GatewayCall>> calls_;
+  std::unordered_map<HttpServerConnection*, GatewayCall*> by_connection_;
+  bool draining_ = false;
+  int64_t drain_started_ms_ = 0;
+  std::function<void()> drained_;
+};
+
+/// One request of a caller, from its arrival to its answer.
+class GatewayCall final : public HttpExchangeListenerI {
+ public:
+  GatewayCall(Gateway::Impl& gateway,
+              HttpServerConnection& caller,
+              HttpRequest request);
+  ~GatewayCall() override;
+
+  void Begin();
+  /// The caller has left.
+  void OnCallerGone();
+  /// The caller has taken what was written.
+  void OnCallerDrained();
+
+  const CallerRequest& info() const { return info_; }
+  const std::set<std::string>& tried() const { return tried_; }
+  const std::string& last_upstream() const { return last_upstream_; }
+  uint64_t random() const { return random_; }
+
+  // HttpExchangeListenerI
+  bool OnResponseHead(HttpHead head) override;
+  void OnResponseBody(std::string_view bytes) override;
+  void OnResponseEnd() override;
+  void OnExchangeFailed(ExchangeFailure failure) override;
+
+ private:
+  struct Turn;
+  bool is_stream() const { return route_->kind == RepeatKind::kStream; }
+  bool may_repeat() const { return route_->kind == RepeatKind::kIdempotent; }
+  int64_t left_ms() const;
+
+  void BeginTurn();
+  void OnTurnBegun(const Outcome<fb::StateResultT>& outcome);
+  void FinishTurn(bool complete, std::function<void(bool kept)> then);
+  void ChooseService();
+  void Send();
+  void SendTo(const UpstreamInstance& upstream);
+  void OnConnectTimeout();
+  void RetryOrRefuse(const Refusal& refusal);
+  void StartForwarding();
+  void Forward(std::string_view bytes);
+  void CompleteForwarding();
+  void ReleaseConnection(bool reuse);
+  void OnDeadline();
+  /// Gives the final answer of this system's own and ends the call.
+  void Refuse(const Refusal& refusal);
+  void RespondWhole();
+  void LogEnd(const char* outcome, const Refusal& refusal, int status) const;
+  void End();
+
+  Gateway::Impl& gateway_;
+  HttpServerConnection* caller_;
+  HttpRequest request_;
+  CallerRequest info_;
+  std::shared_ptr<const RouteTable> table_;
+  const Route* route_ = nullptr;
+  std::string service_;
+  const uint64_t random_;
+  const int64_t start_ms_;
+  int64_t deadline_ms_ = 0;
+  ScopedTimer deadline_timer_;
+  ScopedTimer connect_timer_;
+
+  std::unique_ptr<Turn> turn_;  ///< Of a route that keeps turns.
+  std::string last_upstream_;   ///< Ran the previous turn.
+
+  // The attempt under way.
+  UpstreamInstance upstream_;
+  ConnectionPool::Connection connection_;
+  bool sent_ = false;        ///< The upstream may have the request.
+  bool maybe_run_ = false;   ///< Some upstream may have run it.
+  int32_t runs_ = 0;         ///< Upstreams that may have run it.
+  int32_t sends_ = 0;
+  std::set<std::string> tried_;
+
+  // The response.
+  HttpHead head_;
+  std::string buffered_;
+  bool forwarding_ = false;
+  bool response_done_ = false;
+  bool ended_ = false;
+  /// Expires with the call, for answers that come later.
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace ring
--- /dev/null
+++ b/src/gateway_placement.cc
@@ -0,0 +1,79 @@
+#include <algorithm>
+
+#include "persimmonring/gateway.h"
+
+namespace ring {
+namespace {
+
+// Costs are expected microseconds until the first byte of the answer, as far
+// as candidates differ in it.
+
+// Prompt tokens that an engine of this class reads in a millisecond; from the
+// deployment sheets (61.2), rounded.
+constexpr int64_t kPrefillTokensPerMs = 60;
+constexpr int64_t kUsPerMs = 1'000;
+// Round trips between domains of a region (0.5 to 1.4 ms one way) and between
+// regions (8 ms one way); the latter also pay for the narrow link.
+constexpr int64_t kOtherDomainUs = 3'000;
+constexpr int64_t kOtherRegionUs = 25'000;
+// Each running request slows the others of a batch a little.
+constexpr int64_t kBatchedUs = 500;
+// Work of a request beyond the slots: about one turn on a busy engine, or one
+// call of a plain service.
+constexpr int64_t kQueuedUs = 60'000;
+constexpr int64_t kColdUs = 20'000;
+constexpr int64_t kSuspectedUs = 2'000'000;
+constexpr int64_t kTriedUs = 10'000'000;
+constexpr int64_t kTieUs = 400;
+
+int64_t CostUs(const PlacementInput& input,
+               const PlacementCandidate& candidate) {
+  int64_t cost = 0;
+  if (!candidate.same_region) {
+    cost += kOtherRegionUs;
+  } else if (!candidate.same_domain) {
+    cost += kOtherDomainUs;
+  }
+  const int64_t slots = std::max(candidate.slots, 1);
+  const int64_t load = candidate.in_flight;
+  cost += load * kBatchedUs;
+  if (load >= slots) {
+    cost += (load - slots + 1) * kQueuedUs / slots + kQueuedUs / 2;
+  }
+  if (input.engine) {
+    const int64_t uncached =
+        std::max<int64_t>(input.prompt_tokens - candidate.cached_tokens, 0);
+    cost += uncached * kUsPerMs / kPrefillTokensPerMs;
+  } else {
+    // Plain services slow down when they are nearly full.
+    cost += load * kQueuedUs / (slots * 4);
+  }
+  cost += candidate.cold ? kColdUs : 0;
+  cost += candidate.suspected ? kSuspectedUs : 0;
+  cost += candidate.tried ? kTriedUs : 0;
+  return cost;
+}
+
+// Spreads equal candidates; a multiplicative hash is enough for that.
+int64_t TieUs(const PlacementInput& input, size_t position) {
+  constexpr uint64_t kMultiplier = 0x9e3779b97f4a7c15;
+  const uint64_t mixed = (input.random + position) * kMultiplier;
+  return static_cast<int64_t>((mixed >> 32) % kTieUs);
+}
+
+}  // namespace
+
+std::optional<size_t> PlaceRequest(const PlacementInput& input) {
+  std::optional<size_t> best;
+  int64_t best_cost = 0;
+  for (size_t i = 0; i < input.candidates.size(); ++i) {
+    const int64_t cost = CostUs(input, input.candidates[i]) + TieUs(input, i);
+    if (!best || cost < best_cost) {
+      best = i;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/gateway_pool.cc
@@ -0,0 +1,93 @@
+#include "gateway_pool_p.h"
+
+#include <algorithm>
+
+namespace ring {
+namespace {
+
+// Kept this long if the server does not say how long it keeps a connection.
+constexpr int64_t kDefaultIdleMs = 3'000;
+// Ended this long before the server would: a request must not cross its close.
+constexpr int64_t kIdleMarginMs = 700;
+// Longest use of an idle connection, whatever the server says.
+constexpr int64_t kMaxIdleMs = 10'000;
+constexpr int64_t kSweepMs = 500;
+// Unacknowledged requests break the connection after this time.
+constexpr int64_t kUserTimeoutMs = 3'000;
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(EventLoop& loop) : loop_(loop) {
+  loop_.Every(kSweepMs, [this] { CloseExpired(); });
+}
+
+ConnectionPool::Connection ConnectionPool::Take(const Endpoint& endpoint) {
+  const auto found = idle_.find(endpoint.ToString());
+  if (found != idle_.end()) {
+    std::vector<Idle>& list = found->second;
+    // The one used last is the least likely to have been closed meanwhile.
+    while (!list.empty()) {
+      Idle idle = std::move(list.back());
+      list.pop_back();
+      idle.connection->OnUnusable(nullptr);
+      if (idle.until_ms > loop_.now_ms() && idle.connection->reusable()) {
+        return std::move(idle.connection);
+      }
+      Discard(std::move(idle.connection));
+    }
+  }
+  metrics::Count("ring_upstream_connects_total");
+  return HttpClientConnection::Connect(
+      loop_, {.user_timeout_ms = kUserTimeoutMs}, endpoint);
+}
+
+void ConnectionPool::Give(const Endpoint& endpoint, Connection connection) {
+  if (!connection->reusable()) {
+    Discard(std::move(connection));
+    return;
+  }
+  int64_t keep_ms = connection->keep_alive_ms() == 0
+                        ? kDefaultIdleMs
+                        : connection->keep_alive_ms();
+  keep_ms = std::min(keep_ms - kIdleMarginMs, kMaxIdleMs);
+  if (keep_ms <= 0) {
+    Discard(std::move(connection));
+    return;
+  }
+  const std::string key = endpoint.ToString();
+  HttpClientConnection* const raw = connection.get();
+  raw->SetReading(true);
+  raw->OnUnusable([this, key, raw] {
+    std::vector<Idle>& list = idle_[key];
+    const auto it =
+        std::find_if(list.begin(), list.end(), [raw](const Idle& idle) {
+          return idle.connection.get() == raw;
+        });
+    if (it != list.end()) {
+      Discard(std::move(it->connection));
+      list.erase(it);
+    }
+  });
+  idle_[key].push_back({std::move(connection), loop_.now_ms() + keep_ms});
+}
+
+void ConnectionPool::Discard(Connection connection) {
+  connection->Cancel();
+  const std::shared_ptr<HttpClientConnection> kept = std::move(connection);
+  loop_.Defer([kept] {});
+}
+
+void ConnectionPool::CloseExpired() {
+  for (auto& [key, list] : idle_) {
+    for (Idle& idle : list) {
+      if (idle.until_ms <= loop_.now_ms()) {
+        Discard(std::move(idle.connection));
+      }
+    }
+    std::erase_if(list,
+                  [](const Idle& idle) { return idle.connection == nullptr; });
+  }
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/gateway_routes.cc
@@ -0,0 +1,86 @@
+#include <algorithm>
+
+#include "persimmonring/gateway.h"
+
+namespace ring {
+namespace {
+
+std::string LowerHost(std::string_view host) {
+  host = host.substr(0, host.find(':'));
+  std::string lower(host);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  });
+  return lower;
+}
+
+Refusal Invalid(const std::string& text) {
+  return {Reason::kBadRequest, RunState::kNotRun, text};
+}
+
+}  // namespace
+
+RouteTable::RouteTable(uint64_t version,
+                       std::vector<Route> routes,
+                       std::vector<ServiceSpec> services,
+                       const HttpLimits& limits)
+    : version_(version), routes_(std::move(routes)), limits_(limits) {
+  for (ServiceSpec& service : services) {
+    const std::string name = service.name;
+    services_[name] = std::move(service);
+  }
+  for (size_t i = 0; i < routes_.size(); ++i) {
+    by_host_[LowerHost(routes_[i].host)].emplace(routes_[i].path_prefix, i);
+  }
+}
+
+// Prefixes end with a slash, so only the slashes of the path can end one.
+const Route* RouteTable::Match(std::string_view host,
+                               std::string_view path) const {
+  const auto prefixes = by_host_.find(LowerHost(host));
+  if (prefixes == by_host_.end()) {
+    return nullptr;
+  }
+  for (size_t end = path.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+    const auto found = prefixes->second.find(path.substr(0, end + 1));
+    if (found != prefixes->second.end()) {
+      return &routes_[found->second];
+    }
+  }
+  return nullptr;
+}
+
+const ServiceSpec* RouteTable::FindService(const std::string& name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+Status RouteTable::Check() const {
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : routes_) {
+    int64_t weight = 0;
+    for (const RouteTarget& target : route.targets) {
+      if (!services_.contains(target.service)) {
+        return Invalid("route '" + route.name + "' names unknown service '" +
+                       target.service + "'");
+      }
+      if (target.weight < 0) {
+        return Invalid("route '" + route.name + "' has a negative weight");
+      }
+      weight += target.weight;
+    }
+    if (weight <= 0) {
+      return Invalid("the weights of route '" + route.name + "' add up to 0");
+    }
+    if (route.timeout_ms <= 0) {
+      return Invalid("route '" + route.name + "' has no timeout");
+    }
+    if (!places.emplace(LowerHost(route.host), route.path_prefix).second) {
+      return Invalid("route '" + route.name + "' has the place of another");
+    }
+  }
+  return Done{};
+}
+
+}  // namespace ring
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -15,6 +15,8 @@
 // a member that lags a little needs no snapshot.
 constexpr uint64_t kKeptShare = 4;
 constexpr int64_t kSecondMs = 1'000;
+// How often members are looked at; a fraction of the time to detect a loss.
+constexpr int64_t kMaintenanceMs = 200;
 
 }  // namespace
 
@@ -55,6 +57,7 @@
   replica.heartbeat_ticks = init_.heartbeat_ticks;
   replica.election_ticks = init_.election_ticks;
   replica.seed = init_.seed;
+  replica.max_voters = init_.max_voters;
   replica.load_snapshot = [this]() -> std::shared_ptr<const Snapshot> {
     auto loaded = wal_->LoadSnapshot();
     return loaded ? std::make_shared<const Snapshot>(std::move(*loaded))
@@ -146,6 +149,10 @@
   next_tick_ms_ =
       std::max(next_tick_ms_ + init_.tick_ms, now_ms + init_.tick_ms / 2);
   replica_->Tick(clock_.WallMs());
+  if (init_.automatic_members && now_ms >= next_maintenance_ms_) {
+    next_maintenance_ms_ = now_ms + kMaintenanceMs;
+    MaintainMembers();
+  }
   if (now_ms >= next_second_ms_) {
     next_second_ms_ = now_ms + kSecondMs;
     ProposeExpire(clock_.WallMs());
@@ -154,12 +161,14 @@
 }
 
 void GroupHost::ProposeExpire(int64_t now_ms) {
-  if (name() == kControlGroup || !replica_->is_leader() ||
-      expire_index_ > replica_->AppliedMeta().index) {
+  if (!replica_->is_leader() || expire_index_ > replica_->AppliedMeta().index) {
+    return;
+  }
+  std::string command = machine_->ExpireCommand();
+  if (command.empty()) {
     return;
   }
-  const auto proposed =
-      replica_->Propose(program_codec::EncodeExpire(), now_ms);
+  const auto proposed = replica_->Propose(std::move(command), now_ms);
   if (proposed) {
     expire_index_ = proposed->index;
   }
@@ -167,6 +176,12 @@
 
 Status GroupHost::ProcessReady() {
   Ready ready = replica_->TakeReady();
+  // A leader's term is durable, so that its appends may leave before its own
+  // copy is synced; followers sync at the same time.
+  const bool early = replica_->is_leader() && !ready.hard_state;
+  if (early) {
+    SendMessages(ready.messages);
+  }
   if (Status status = Persist(ready); !status) {
     Event(LogLevel::kError, "store_failed")
         .Add("group", name())
@@ -175,7 +190,9 @@
     return status;
   }
   replica_->Persisted();
-  SendMessages(ready.messages);
+  if (!early) {
+    SendMessages(ready.messages);
+  }
   Apply(ready.committed);
   AnswerReads(ready);
   NoteLeader();
@@ -255,6 +272,9 @@
           .Add("group", name())
           .Add("index", entry.index)
           .Add("voters", uint64_t{replica_->config().voter_count()});
+      if (init_.on_members) {
+        init_.on_members(name(), replica_->config());
+      }
     }
     const auto found = pending_.find(entry.index);
     if (found == pending_.end()) {
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <deque>
 #include <map>
+#include <set>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
   virtual void SendToNode(const std::string& node, const Frame& frame) = 0;
   /// Sends to all sessions that are not keepers.
   virtual void SendToEntries(const Frame& frame) = 0;
+  /// Sends to all sessions of keepers.
+  virtual void SendToKeepers(const Frame& frame) = 0;
 };
 
 /// Encodes the reply to a keeper request.
@@ -52,6 +55,11 @@
     uint64_t snapshot_entries = 20'000;
     uint64_t seed = 1;
     std::function<std::unique_ptr<StateMachineI>()> create_machine;
+    bool automatic_members = false;
+    size_t max_voters = SIZE_MAX;
+    std::function<void(const std::string& group, const LogConfig& config)>
+        on_members;
+    std::function<std::set<std::string>()> retired_nodes;
   };
 
   GroupHost(Init init,
@@ -108,6 +116,12 @@
   void ProposeExpire(int64_t now_ms);
   std::string NodeOf(ReplicaNumber id) const;
 
+  // Members that change by themselves (keeper_group_members.cc).
+  void MaintainMembers();
+  void AskToJoin();
+  void HandleJoin(const Caller& caller, const std::string& payload);
+  void ChangeMembers();
+
   // Requests (keeper_group_requests.cc).
   void HandleRaft(const GroupInput& input);
   void HandleRequest(const GroupInput& input);
@@ -150,6 +164,13 @@
   ReplicaNumber known_leader_ = 0;
   std::string leader_node_;
   uint64_t known_term_ = 0;
+  struct HeardJoin {
+    JoinRequest request;
+    int64_t heard_ms = 0;
+  };
+  std::map<ReplicaNumber, HeardJoin> joins_;
+  int64_t next_maintenance_ms_ = 0;
+  int64_t leader_seen_ms_ = 0;
   NodeVersionTable versions_;
   uint64_t control_version_ = 0;
   uint64_t quarantine_version_ = 0;
--- a/src/keeper_group_requests.cc
+++ b/src/keeper_group_requests.cc
@@ -119,6 +119,8 @@
     case fb::KeeperOp::AddReplica:
     case fb::KeeperOp::RemoveReplica:
       return HandleChange(caller, request->op(), payload);
+    case fb::KeeperOp::Join:
+      return HandleJoin(caller, payload);
     case fb::KeeperOp::TransferLeader:
       return HandleTransfer(caller, payload);
     case fb::KeeperOp::ControlPoll:
--- a/src/keeper_host.cc
+++ b/src/keeper_host.cc
@@ -49,8 +49,14 @@
   void SendTo(SessionHandle session, const Frame& frame) override;
   void SendToNode(const std::string& node, const Frame& frame) override;
   void SendToEntries(const Frame& frame) override;
+  void SendToKeepers(const Frame& frame) override;
 
  private:
+  bool IsKeeper(const std::string& node) const {
+    return init_.is_keeper ? init_.is_keeper(node)
+                           : init_.keepers.contains(node);
+  }
+  void SendToAll(const std::set<SessionHandle>& sessions, const Frame& frame);
   Status OpenGroup(const ReplicaSpec& spec);
   GroupHost* Find(const std::string& group) const;
   void Refuse(SessionHandle session, const Frame& frame, Refusal refusal);
@@ -62,6 +68,7 @@
   std::vector<std::unique_ptr<GroupHost>> groups_;
   std::mutex mutex_;
   std::set<SessionHandle> entry_sessions_;
+  std::set<SessionHandle> keeper_sessions_;
 };
 
 Status KeeperHost::Impl::Open() {
@@ -88,6 +95,10 @@
     group.election_ticks = init_.election_ticks;
     group.max_pending = init_.max_pending_proposals;
     group.snapshot_entries = init_.snapshot_entries;
+    group.automatic_members = init_.automatic_members;
+    group.max_voters = init_.max_voters;
+    group.on_members = init_.on_members;
+    group.retired_nodes = init_.retired_nodes;
     group.seed = init_.seed == 0 ? RandomSeed() : init_.seed + groups_.size();
     group.create_machine = [this, name = spec.group] {
       return init_.create_machine ? init_.create_machine(name)
@@ -168,15 +179,14 @@
 }
 
 void KeeperHost::Impl::AddSession(SessionHandle session, const PeerInfo& peer) {
-  if (!init_.keepers.contains(peer.node)) {
-    std::lock_guard lock(mutex_);
-    entry_sessions_.insert(session);
-  }
+  std::lock_guard lock(mutex_);
+  (IsKeeper(peer.node) ? keeper_sessions_ : entry_sessions_).insert(session);
 }
 
 void KeeperHost::Impl::RemoveSession(SessionHandle session) {
   std::lock_guard lock(mutex_);
   entry_sessions_.erase(session);
+  keeper_sessions_.erase(session);
 }
 
 void KeeperHost::Impl::HandleFrame(SessionHandle session,
@@ -225,6 +235,12 @@
 
 // A frame that cannot be sent is lost; raft and clients repeat what they need.
 void KeeperHost::Impl::SendTo(SessionHandle session, const Frame& frame) {
+  if (session == kLocalSession) {
+    if (init_.on_local_reply) {
+      init_.on_local_reply(frame);
+    }
+    return;
+  }
   if (Status status = hub_->Send(session, frame); !status) {
     metrics::Count("ring_keeper_unsent_frames_total",
                    {{"reason", ToString(status.refusal().reason)}});
@@ -244,6 +260,20 @@
     std::lock_guard lock(mutex_);
     sessions = entry_sessions_;
   }
+  SendToAll(sessions, frame);
+}
+
+void KeeperHost::Impl::SendToKeepers(const Frame& frame) {
+  std::set<SessionHandle> sessions;
+  {
+    std::lock_guard lock(mutex_);
+    sessions = keeper_sessions_;
+  }
+  SendToAll(sessions, frame);
+}
+
+void KeeperHost::Impl::SendToAll(const std::set<SessionHandle>& sessions,
+                                 const Frame& frame) {
   for (const SessionHandle session : sessions) {
     SendTo(session, frame);
   }
--- a/src/log_replica_members.cc
+++ b/src/log_replica_members.cc
@@ -91,7 +91,7 @@
 // counts synced entries only, so a repair never replaces a durable copy by one
 // that is still missing entries.
 void Replica::Impl::PromoteLearners(int64_t now_ms) {
-  if (!CheckChange()) {
+  if (!CheckChange() || log_.config().voter_count() >= init_.max_voters) {
     return;
   }
   for (const Member& member : log_.config().members) {
--- /dev/null
+++ b/src/net_http_client.cc
@@ -0,0 +1,172 @@
+#include "persimmonring/net.h"
+
+namespace ring {
+namespace {
+
+constexpr size_t kMaxResponseHeaderBytes = 64u << 10;
+constexpr int64_t kSecondMs = 1'000;
+
+// Reads "timeout=N" of a Keep-Alive header.
+int64_t KeepAliveMs(const HttpHead& head) {
+  const std::string* value = head.Find("Keep-Alive");
+  if (value == nullptr) {
+    return 0;
+  }
+  constexpr std::string_view kKey = "timeout=";
+  const size_t at = value->find(kKey);
+  if (at == std::string::npos) {
+    return 0;
+  }
+  std::string_view digits = std::string_view(*value).substr(at + kKey.size());
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  return ParseNumber(digits).value_or(0) * kSecondMs;
+}
+
+}  // namespace
+
+std::unique_ptr<HttpClientConnection> HttpClientConnection::Connect(
+    EventLoop& loop,
+    const TcpConnection::Init& init,
+    const Endpoint& endpoint) {
+  auto connection = TcpConnection::Connect(loop, init, endpoint);
+  if (!connection) {
+    return nullptr;
+  }
+  return std::unique_ptr<HttpClientConnection>(
+      new HttpClientConnection(std::move(connection)));
+}
+
+HttpClientConnection::HttpClientConnection(
+    std::unique_ptr<TcpConnection> connection)
+    : connection_(std::move(connection)),
+      parser_(HttpParser::Kind::kResponse, *this, kMaxResponseHeaderBytes) {
+  connection_->SetListener(this);
+}
+
+void HttpClientConnection::Start(HttpExchangeListenerI* listener,
+                                 std::string_view head,
+                                 std::string_view body) {
+  RING_CHECK(listener_ == nullptr && !broken_);
+  listener_ = listener;
+  skipping_ = false;
+  response_started_ = false;
+  ended_ = false;
+  ++exchanges_;
+  parser_.Reset();
+  if (body.empty()) {
+    connection_->Write(head);
+    return;
+  }
+  std::string whole;
+  whole.reserve(head.size() + body.size());
+  whole.append(head).append(body);
+  connection_->Write(whole);
+}
+
+void HttpClientConnection::Cancel() {
+  listener_ = nullptr;
+  broken_ = true;
+  connection_->Close();
+}
+
+bool HttpClientConnection::reusable() const {
+  // A response that came before the request was read whole leaves the rest of
+  // the request on the connection.
+  return !broken_ && server_keeps_ && !connection_->closed() &&
+         connection_->unsent_bytes() == 0;
+}
+
+void HttpClientConnection::OnBytes(std::string_view bytes) {
+  if (listener_ == nullptr) {
+    // Bytes outside of an exchange belong to no request.
+    broken_ = true;
+    connection_->Close();
+    if (unusable_) {
+      unusable_();
+    }
+    return;
+  }
+  while (!bytes.empty() && listener_ != nullptr) {
+    const HttpParser::Result result = parser_.Feed(bytes);
+    if (broken_) {
+      return;
+    }
+    if (result.state == HttpParser::State::kError) {
+      return Fail(ExchangeFailure::kMalformed);
+    }
+    bytes.remove_prefix(result.consumed);
+    if (result.state == HttpParser::State::kMore) {
+      return;
+    }
+    if (skipping_) {
+      skipping_ = false;
+      response_started_ = false;
+      parser_.Reset();
+      continue;
+    }
+    if (!bytes.empty()) {
+      broken_ = true;  // Trailing bytes: not to be used again.
+    }
+    return EndExchange();
+  }
+}
+
+void HttpClientConnection::EndExchange() {
+  HttpExchangeListenerI* const listener = std::exchange(listener_, nullptr);
+  listener->OnResponseEnd();
+}
+
+void HttpClientConnection::Fail(ExchangeFailure failure) {
+  broken_ = true;
+  connection_->Close();
+  HttpExchangeListenerI* const listener = std::exchange(listener_, nullptr);
+  if (listener != nullptr) {
+    listener->OnExchangeFailed(failure);
+  }
+}
+
+void HttpClientConnection::OnClosed(CloseKind kind) {
+  broken_ = true;
+  if (listener_ == nullptr) {
+    if (unusable_) {
+      unusable_();
+    }
+    return;
+  }
+  if (kind == CloseKind::kRefused) {
+    return Fail(ExchangeFailure::kNotConnected);
+  }
+  if (!response_started_ || skipping_) {
+    return Fail(ExchangeFailure::kNoResponse);
+  }
+  // A response without a length ends with its connection, if that ends in
+  // order.
+  if (kind == CloseKind::kEof &&
+      parser_.FeedEof().state == HttpParser::State::kMessageEnd) {
+    return EndExchange();
+  }
+  Fail(ExchangeFailure::kTruncated);
+}
+
+void HttpClientConnection::OnHead(HttpHead head) {
+  // Interim responses announce nothing that is used here.
+  constexpr int kFirstFinalStatus = 200;
+  if (head.status < kFirstFinalStatus) {
+    skipping_ = true;
+    return;
+  }
+  response_started_ = true;
+  server_keeps_ = head.keep_alive && !head.until_close;
+  keep_alive_ms_ = KeepAliveMs(head);
+  skipping_ = !listener_->OnResponseHead(std::move(head));
+}
+
+void HttpClientConnection::OnBody(std::string_view bytes) {
+  if (!skipping_ && listener_ != nullptr) {
+    listener_->OnResponseBody(bytes);
+  }
+}
+
+void HttpClientConnection::OnMessageEnd() {}
+
+}  // namespace ring
--- /dev/null
+++ b/src/net_tcp.cc
@@ -0,0 +1,276 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+#include "persimmonring/net.h"
+
+namespace ring {
+namespace {
+
+constexpr int kBacklog = 1'024;
+// Sent bytes are dropped from the front of the buffer beyond this size.
+constexpr size_t kCompactBytes = 64u << 10;
+
+std::optional<sockaddr_in> ToSockaddr(const Endpoint& endpoint) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  if (inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+void SetOption(int fd, int level, int name, int value) {
+  setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+TcpConnection::TcpConnection(EventLoop& loop, const Init& init, int fd)
+    : TcpConnection(loop, init, fd, true) {}
+
+TcpConnection::TcpConnection(EventLoop& loop,
+                             const Init& init,
+                             int fd,
+                             bool connected)
+    : loop_(loop), fd_(fd), connected_(connected) {
+  Prepare(init);
+  interest_ = EPOLLRDHUP | (connected ? EPOLLIN : EPOLLOUT);
+  loop_.Watch(fd_, interest_, this);
+}
+
+void TcpConnection::Prepare(const Init& init) const {
+  SetOption(fd_, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(init.user_timeout_ms));
+}
+
+std::unique_ptr<TcpConnection> TcpConnection::Connect(
+    EventLoop& loop,
+    const Init& init,
+    const Endpoint& endpoint) {
+  const auto address = ToSockaddr(endpoint);
+  if (!address) {
+    return nullptr;
+  }
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) {
+    return nullptr;
+  }
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&*address),
+              sizeof(*address)) != 0 &&
+      errno != EINPROGRESS) {
+    close(fd);
+    return nullptr;
+  }
+  return std::unique_ptr<TcpConnection>(
+      new TcpConnection(loop, init, fd, false));
+}
+
+TcpConnection::~TcpConnection() {
+  Close();
+}
+
+void TcpConnection::Close() {
+  if (fd_ >= 0) {
+    loop_.Unwatch(fd_);
+    close(fd_);
+    fd_ = -1;
+  }
+}
+
+void TcpConnection::Abort() {
+  if (fd_ >= 0) {
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
+  Close();
+}
+
+void TcpConnection::CloseAfterWrite() {
+  close_after_write_ = true;
+  if (unsent_bytes() == 0 && fd_ >= 0) {
+    // A peer that still sends would get a reset, which may destroy the
+    // response on its way; the end of the stream is announced first.
+    shutdown(fd_, SHUT_WR);
+    Close();
+  }
+}
+
+void TcpConnection::End(CloseKind kind) {
+  Close();
+  if (listener_ != nullptr) {
+    listener_->OnClosed(kind);
+  }
+}
+
+void TcpConnection::UpdateInterest() {
+  uint32_t wanted = EPOLLRDHUP;
+  if (reading_) {
+    wanted |= EPOLLIN;
+  }
+  if (!connected_ || unsent_bytes() > 0) {
+    wanted |= EPOLLOUT;
+  }
+  if (wanted != interest_ && fd_ >= 0) {
+    interest_ = wanted;
+    loop_.Modify(fd_, wanted, this);
+  }
+}
+
+void TcpConnection::SetReading(bool on) {
+  reading_ = on;
+  if (connected_) {
+    UpdateInterest();
+  }
+}
+
+void TcpConnection::Write(std::string_view bytes) {
+  if (fd_ < 0) {
+    return;
+  }
+  if (connected_ && unsent_bytes() == 0) {
+    const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent > 0) {
+      bytes.remove_prefix(static_cast<size_t>(sent));
+    }
+    // Errors are reported by the next event of the descriptor.
+  }
+  if (!bytes.empty()) {
+    out_.append(bytes);
+    UpdateInterest();
+  }
+}
+
+void TcpConnection::Flush() {
+  while (unsent_bytes() > 0) {
+    const ssize_t sent =
+        send(fd_, out_.data() + out_offset_, unsent_bytes(), MSG_NOSIGNAL);
+    if (sent <= 0) {
+      break;
+    }
+    out_offset_ += static_cast<size_t>(sent);
+  }
+  if (unsent_bytes() == 0) {
+    out_.clear();
+    out_offset_ = 0;
+  } else if (out_offset_ > kCompactBytes) {
+    out_.erase(0, out_offset_);
+    out_offset_ = 0;
+  }
+}
+
+void TcpConnection::ReadSome() {
+  std::string& buffer = loop_.scratch();
+  const ssize_t got = recv(fd_, buffer.data(), buffer.size(), 0);
+  if (got > 0) {
+    if (listener_ != nullptr) {
+      listener_->OnBytes({buffer.data(), static_cast<size_t>(got)});
+    }
+  } else if (got == 0) {
+    End(CloseKind::kEof);
+  } else if (errno != EAGAIN && errno != EINTR) {
+    End(CloseKind::kReset);
+  }
+}
+
+void TcpConnection::OnIo(uint32_t events) {
+  if (!connected_) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0 || (events & (EPOLLERR | EPOLLHUP)) != 0) {
+      return End(CloseKind::kRefused);
+    }
+    connected_ = true;
+    Flush();
+    UpdateInterest();
+    if (listener_ != nullptr) {
+      listener_->OnConnected();
+    }
+    return;
+  }
+  if ((events & EPOLLOUT) != 0 && unsent_bytes() > 0) {
+    Flush();
+    UpdateInterest();
+    if (unsent_bytes() == 0) {
+      if (close_after_write_) {
+        return CloseAfterWrite();
+      }
+      if (listener_ != nullptr) {
+        listener_->OnDrained();
+      }
+      if (fd_ < 0) {
+        return;
+      }
+    }
+  }
+  if ((events & EPOLLIN) != 0 && reading_) {
+    return ReadSome();
+  }
+  if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
+    return End(CloseKind::kReset);
+  }
+  if ((events & EPOLLRDHUP) != 0) {
+    // Reading is paused; what has arrived is read before the end is reported.
+    ReadSome();
+  }
+}
+
+TcpListener::TcpListener(EventLoop& loop, int fd, Accepted accepted)
+    : loop_(loop), fd_(fd), accepted_(std::move(accepted)) {
+  loop_.Watch(fd_, EPOLLIN, this);
+}
+
+TcpListener::~TcpListener() {
+  Close();
+}
+
+void TcpListener::Close() {
+  if (fd_ >= 0) {
+    loop_.Unwatch(fd_);
+    close(fd_);
+    fd_ = -1;
+  }
+}
+
+Outcome<std::unique_ptr<TcpListener>> TcpListener::Create(
+    EventLoop& loop,
+    const Endpoint& endpoint,
+    Accepted accepted) {
+  const auto address = ToSockaddr(endpoint);
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (address && fd >= 0) {
+    SetOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&*address),
+             sizeof(*address)) == 0 &&
+        listen(fd, kBacklog) == 0) {
+      return std::unique_ptr<TcpListener>(
+          new TcpListener(loop, fd, std::move(accepted)));
+    }
+  }
+  if (fd >= 0) {
+    close(fd);
+  }
+  return Refusal{Reason::kStorageFailed, RunState::kNotRun,
+                 "cannot listen on " + endpoint.ToString()};
+}
+
+void TcpListener::OnIo(uint32_t /*events*/) {
+  while (fd_ >= 0) {
+    const int fd =
+        accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      return;
+    }
+    accepted_(fd);
+  }
+}
+
+}  // namespace ring
--- a/src/program_machine.cc
+++ b/src/program_machine.cc
@@ -321,4 +321,8 @@
   }
 }
 
+std::string ProgramMachine::ExpireCommand() const {
+  return program_codec::EncodeExpire();
+}
+
 }  // namespace ring
--- a/src/program_machine_p.h
+++ b/src/program_machine_p.h
@@ -26,6 +26,7 @@
   std::string Query(std::string_view query) const override;
   std::string Save() const override;
   Status Load(std::string_view snapshot) override;
+  std::string ExpireCommand() const override;
 
  private:
   using Programs = std::map<std::string, StoredProgram, std::less<>>;
--- /dev/null
+++ b/src/state_codec.cc
@@ -0,0 +1,69 @@
+#include "core_flatbuffer_p.h"
+#include "persimmonring/state.h"
+
+namespace ring::state_codec {
+namespace {
+
+template <typename T>
+std::string EncodeCommand(T body) {
+  fb::StateCommandT command;
+  command.body.Set(std::move(body));
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(fb::CreateStateCommand(builder, &command));
+  return BytesOf(builder);
+}
+
+}  // namespace
+
+std::string EncodePutConfiguration(uint64_t version,
+                                   const std::string& document) {
+  fb::PutConfigurationT put;
+  put.version = version;
+  put.document = document;
+  return EncodeCommand(std::move(put));
+}
+
+std::string EncodeDeparture(const UpstreamDeparture& departure) {
+  fb::DepartUpstreamT depart;
+  depart.instance = departure.instance;
+  depart.born_ms = departure.born_ms;
+  depart.gone = departure.gone;
+  return EncodeCommand(std::move(depart));
+}
+
+std::string EncodeBegin(const fb::BeginTurnT& begin) {
+  return EncodeCommand(begin);
+}
+
+std::string EncodeFinish(const fb::FinishTurnT& finish) {
+  return EncodeCommand(finish);
+}
+
+std::string EncodeRetire(const std::string& node) {
+  fb::OrderRetireT order;
+  order.node = node;
+  return EncodeCommand(std::move(order));
+}
+
+std::string EncodeExpire() {
+  return EncodeCommand(fb::ExpireTurnsT());
+}
+
+std::string EncodeQuery(bool configuration) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(fb::CreateStateQuery(builder, configuration));
+  return BytesOf(builder);
+}
+
+Outcome<fb::StateResultT> DecodeResult(std::string_view bytes) {
+  const FlatView<fb::StateResult> view(bytes);
+  if (!view) {
+    return Refusal{Reason::kCorruptData, RunState::kUnknown,
+                   "the result of the state group cannot be decoded"};
+  }
+  fb::StateResultT result;
+  view->UnPackTo(&result);
+  return result;
+}
+
+}  // namespace ring::state_codec
--- /dev/null
+++ b/src/state_machine.cc
@@ -0,0 +1,268 @@
+#include "state_machine_p.h"
+
+#include <algorithm>
+
+#include "core_flatbuffer_p.h"
+
+namespace ring {
+namespace {
+
+std::string TextFrom(const flatbuffers::String* text) {
+  return std::string(TextOf(text));
+}
+
+std::string DepartureKey(const UpstreamDeparture& departure) {
+  return departure.instance + "/" + std::to_string(departure.born_ms);
+}
+
+std::string Pack(const fb::StateResultT& result) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(fb::CreateStateResult(builder, &result));
+  return BytesOf(builder);
+}
+
+}  // namespace
+
+int64_t RingStateMachine::Impl::Program::reserved_tokens() const {
+  int64_t total = 0;
+  for (const auto& [turn, tokens] : open) {
+    total += tokens;
+  }
+  return total;
+}
+
+fb::StateResultT RingStateMachine::Impl::Result(fb::StateCode code) const {
+  fb::StateResultT result;
+  result.code = code;
+  result.version = version_;
+  return result;
+}
+
+std::string RingStateMachine::Impl::Apply(int64_t time_ms,
+                                          std::string_view command) {
+  now_ms_ = time_ms;
+  const FlatView<fb::StateCommand> view(command);
+  return Pack(view ? Dispatch(*view.get())
+                   : Result(fb::StateCode::BadCommand));
+}
+
+fb::StateResultT RingStateMachine::Impl::Dispatch(
+    const fb::StateCommand& command) {
+  switch (command.body_type()) {
+    case fb::StateCommandBody::PutConfiguration:
+      return Put(*command.body_as_PutConfiguration());
+    case fb::StateCommandBody::DepartUpstream:
+      return Depart(*command.body_as_DepartUpstream());
+    case fb::StateCommandBody::BeginTurn:
+      return Begin(*command.body_as_BeginTurn());
+    case fb::StateCommandBody::FinishTurn:
+      return Finish(*command.body_as_FinishTurn());
+    case fb::StateCommandBody::OrderRetire:
+      return Retire(*command.body_as_OrderRetire());
+    case fb::StateCommandBody::ExpireTurns:
+      Expire();
+      return Result(fb::StateCode::Done);
+    case fb::StateCommandBody::NONE:
+      break;
+  }
+  return Result(fb::StateCode::BadCommand);
+}
+
+fb::StateResultT RingStateMachine::Impl::Put(
+    const fb::PutConfiguration& command) {
+  if (command.version() <= version_) {
+    return Result(fb::StateCode::Outdated);
+  }
+  version_ = command.version();
+  document_ =
+      std::make_shared<const std::string>(TextFrom(command.document()));
+  if (observer_ != nullptr) {
+    observer_->OnConfiguration(version_, document_);
+  }
+  return Result(fb::StateCode::Done);
+}
+
+fb::StateResultT RingStateMachine::Impl::Depart(
+    const fb::DepartUpstream& command) {
+  UpstreamDeparture departure{TextFrom(command.instance()), command.born_ms(),
+                              command.gone()};
+  const auto [it, added] =
+      departures_.try_emplace(DepartureKey(departure), Departure{departure});
+  it->second.recorded_ms = now_ms_;
+  const bool changed = added || (departure.gone && !it->second.value.gone);
+  it->second.value.gone = it->second.value.gone || departure.gone;
+  if (changed && observer_ != nullptr) {
+    observer_->OnDeparture(it->second.value);
+  }
+  return Result(fb::StateCode::Done);
+}
+
+// A program's open turns count with the most that they may generate, so that
+// entries which begin turns at the same time cannot overspend together.
+fb::StateResultT RingStateMachine::Impl::Begin(const fb::BeginTurn& command) {
+  const std::string turn = TextFrom(command.turn());
+  const std::string previous = TextFrom(command.previous());
+  if (turn.empty()) {
+    return Result(fb::StateCode::BadCommand);
+  }
+  const auto before = turns_.find(previous);
+  if (!previous.empty() && before == turns_.end()) {
+    return Result(fb::StateCode::UnknownTurn);
+  }
+  const std::string program_id = TextFrom(command.program());
+  if (!program_id.empty() && command.budget_tokens() >= 0) {
+    Program& program = programs_[program_id];
+    program.touched_ms = now_ms_;
+    if (!program.open.contains(turn) && !turns_.contains(turn)) {
+      if (program.spent_tokens + program.reserved_tokens() +
+              command.max_tokens() >
+          command.budget_tokens()) {
+        return Result(fb::StateCode::BudgetSpent);
+      }
+      program.open[turn] = command.max_tokens();
+    }
+  }
+  fb::StateResultT result = Result(fb::StateCode::Done);
+  if (!previous.empty()) {
+    result.last_upstream = before->second.upstream;
+    CollectChain(previous, TextOf(command.known()), result);
+  }
+  return result;
+}
+
+void RingStateMachine::Impl::CollectChain(const std::string& turn,
+                                          std::string_view known,
+                                          fb::StateResultT& result) const {
+  for (auto it = turns_.find(turn); it != turns_.end() && it->first != known;
+       it = turns_.find(it->second.previous)) {
+    auto text = std::make_unique<fb::TurnTextT>();
+    text->turn = it->first;
+    text->previous = it->second.previous;
+    text->input = it->second.input;
+    text->output = it->second.output;
+    result.chain.push_back(std::move(text));
+  }
+  std::reverse(result.chain.begin(), result.chain.end());
+}
+
+fb::StateResultT RingStateMachine::Impl::Finish(
+    const fb::FinishTurn& command) {
+  const auto found = programs_.find(TextFrom(command.program()));
+  if (found != programs_.end()) {
+    Program& program = found->second;
+    program.touched_ms = now_ms_;
+    if (program.open.erase(TextFrom(command.turn())) > 0) {
+      program.spent_tokens += command.tokens();
+    }
+  }
+  if (command.complete()) {
+    KeepTurn(command);
+  }
+  return Result(fb::StateCode::Done);
+}
+
+void RingStateMachine::Impl::KeepTurn(const fb::FinishTurn& command) {
+  const int64_t expires_ms =
+      now_ms_ + command.retention_ms() + init_.clock_slack_ms;
+  const auto [it, added] =
+      turns_.try_emplace(TextFrom(command.turn()), KeptTurn{});
+  if (!added) {
+    return;
+  }
+  KeptTurn& turn = it->second;
+  turn.previous = TextFrom(command.previous());
+  turn.input = TextFrom(command.input());
+  turn.output = TextFrom(command.output());
+  turn.upstream = TextFrom(command.upstream());
+  ExtendChain(it->first, expires_ms);
+}
+
+void RingStateMachine::Impl::ExtendChain(const std::string& turn,
+                                         int64_t expires_ms) {
+  for (auto it = turns_.find(turn);
+       it != turns_.end() && it->second.expires_ms < expires_ms;
+       it = turns_.find(it->second.previous)) {
+    it->second.expires_ms = expires_ms;
+  }
+}
+
+fb::StateResultT RingStateMachine::Impl::Retire(
+    const fb::OrderRetire& command) {
+  retired_.insert(TextFrom(command.node()));
+  if (observer_ != nullptr) {
+    observer_->OnRetire(retired_);
+  }
+  return Result(fb::StateCode::Done);
+}
+
+void RingStateMachine::Impl::Expire() {
+  std::erase_if(turns_, [this](const auto& item) {
+    return item.second.expires_ms < now_ms_;
+  });
+  std::erase_if(programs_, [this](const auto& item) {
+    return item.second.touched_ms + init_.program_retention_ms < now_ms_;
+  });
+  for (auto& [key, departure] : departures_) {
+    // A snapshot does not say when it was recorded.
+    if (departure.recorded_ms == 0) {
+      departure.recorded_ms = now_ms_;
+    }
+  }
+  std::erase_if(departures_, [this](const auto& item) {
+    return item.second.recorded_ms + init_.departure_retention_ms < now_ms_;
+  });
+}
+
+std::string RingStateMachine::Impl::Query(std::string_view query) const {
+  const FlatView<fb::StateQuery> view(query);
+  if (!view) {
+    return Pack(Result(fb::StateCode::BadCommand));
+  }
+  fb::StateResultT result = Result(fb::StateCode::Done);
+  result.retired.assign(retired_.begin(), retired_.end());
+  if (view->configuration()) {
+    result.document = *document_;
+  }
+  return Pack(result);
+}
+
+void RingStateMachine::Impl::NotifyAll() const {
+  if (observer_ == nullptr) {
+    return;
+  }
+  if (version_ > 0) {
+    observer_->OnConfiguration(version_, document_);
+  }
+  for (const auto& [key, departure] : departures_) {
+    observer_->OnDeparture(departure.value);
+  }
+  observer_->OnRetire(retired_);
+}
+
+RingStateMachine::RingStateMachine(const Init& init, StateObserverI* observer)
+    : impl_(std::make_unique<Impl>(init, observer)) {}
+RingStateMachine::~RingStateMachine() = default;
+
+std::string RingStateMachine::Apply(uint64_t /*index*/,
+                                    int64_t time_ms,
+                                    std::string_view command) {
+  return impl_->Apply(time_ms, command);
+}
+
+std::string RingStateMachine::Query(std::string_view query) const {
+  return impl_->Query(query);
+}
+
+std::string RingStateMachine::Save() const {
+  return impl_->Save();
+}
+
+Status RingStateMachine::Load(std::string_view snapshot) {
+  return impl_->Load(snapshot);
+}
+
+std::string RingStateMachine::ExpireCommand() const {
+  return state_codec::EncodeExpire();
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/state_machine_p.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "persimmonring/state.h"
+
+namespace ring {
+
+class RingStateMachine::Impl {
+ public:
+  Impl(const Init& init, StateObserverI* observer)
+      : init_(init), observer_(observer) {}
+
+  std::string Apply(int64_t time_ms, std::string_view command);
+  std::string Query(std::string_view query) const;
+  std::string Save() const;
+  Status Load(std::string_view snapshot);
+
+ private:
+  struct KeptTurn {
+    std::string previous;
+    std::string input;
+    std::string output;
+    std::string upstream;
+    int64_t expires_ms = 0;
+  };
+  struct Program {
+    int64_t spent_tokens = 0;
+    std::map<std::string, int64_t> open;  ///< Turn to its most tokens.
+    int64_t touched_ms = 0;
+
+    int64_t reserved_tokens() const;
+  };
+  struct Departure {
+    UpstreamDeparture value;
+    int64_t recorded_ms = 0;
+  };
+
+  fb::StateResultT Dispatch(const fb::StateCommand& command);
+  fb::StateResultT Put(const fb::PutConfiguration& command);
+  fb::StateResultT Depart(const fb::DepartUpstream& command);
+  fb::StateResultT Begin(const fb::BeginTurn& command);
+  fb::StateResultT Finish(const fb::FinishTurn& command);
+  fb::StateResultT Retire(const fb::OrderRetire& command);
+  void Expire();
+  void KeepTurn(const fb::FinishTurn& command);
+  /// Makes the turn and all before it last at least until a time.
+  void ExtendChain(const std::string& turn, int64_t expires_ms);
+  /// Collects the chain that ends with a turn, oldest first.
+  /// @param known stops before this turn
+  void CollectChain(const std::string& turn,
+                    std::string_view known,
+                    fb::StateResultT& result) const;
+  fb::StateResultT Result(fb::StateCode code) const;
+  void NotifyAll() const;
+
+  const Init init_;
+  StateObserverI* const observer_;
+  int64_t now_ms_ = 0;  ///< Time of the command being applied.
+  uint64_t version_ = 0;
+  std::shared_ptr<const std::string> document_ =
+      std::make_shared<const std::string>();
+  std::map<std::string, Departure> departures_;  ///< By instance and start.
+  std::map<std::string, Program> programs_;
+  std::map<std::string, KeptTurn> turns_;
+  std::set<std::string> retired_;
+};
+
+}  // namespace ring
