Take the replica id from the log folder and block the reload signal

Cause: ids above 2^63 were not read back from a file of their own, so a killed keeper joined under a new id beside its old log (exit 5 in a loop); SIGHUP ended entries. Ruled out: lost files.

--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -163,6 +163,9 @@
                            const WalIdentity& identity,
                            const std::vector<Member>& initial_members);
 
+  /// @returns whose data the folder holds, or nullopt if it holds none
+  static Outcome<std::optional<WalIdentity>> ReadIdentity(DiskI& disk);
+
   struct Init {
     WalIdentity identity;
     bool read_only = false;  ///< Cuts and rewrites nothing; for inspection.
--- a/include/persimmonring/runtime.h
+++ b/include/persimmonring/runtime.h
@@ -162,8 +162,8 @@
   bool started_ = false;
 };
 
-/// Blocks SIGTERM and SIGINT in the calling thread and all threads started
-/// later, and ignores SIGPIPE. Call first in main.
+/// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and all threads
+/// started later, and ignores SIGPIPE. Call first in main.
 void BlockStopSignals();
 /// @param timeout_ms longest wait, milliseconds
 /// @returns true if SIGTERM or SIGINT arrived
--- a/src/log_wal.cc
+++ b/src/log_wal.cc
@@ -38,7 +38,7 @@
          "\n";
 }
 
-Outcome<WalIdentity> ReadIdentity(DiskI& disk) {
+Outcome<WalIdentity> LoadIdentity(DiskI& disk) {
   const auto bytes = disk.Read(kIdentityFile);
   if (!bytes) {
     return bytes.refusal();
@@ -52,7 +52,7 @@
 }
 
 Status CheckIdentity(DiskI& disk, const WalIdentity& expected) {
-  const auto found = ReadIdentity(disk);
+  const auto found = LoadIdentity(disk);
   if (!found) {
     return found.refusal();
   }
@@ -216,6 +216,21 @@
                 : status;
 }
 
+Outcome<std::optional<WalIdentity>> Wal::ReadIdentity(DiskI& disk) {
+  const auto names = disk.List();
+  if (!names) {
+    return names.refusal();
+  }
+  if (!Contains(*names, kIdentityFile)) {
+    return std::optional<WalIdentity>();
+  }
+  const auto identity = LoadIdentity(disk);
+  if (!identity) {
+    return identity.refusal();
+  }
+  return std::optional<WalIdentity>(*identity);
+}
+
 Outcome<std::unique_ptr<Wal>> Wal::Open(DiskI& disk, const Init& init) {
   const auto names = disk.List();
   if (!names) {
--- a/src/runtime_supervisor.cc
+++ b/src/runtime_supervisor.cc
@@ -147,10 +147,17 @@
   return set;
 }
 
+// A reload signal is only a hint that the settings file has changed.
+sigset_t BlockedSignals() {
+  sigset_t set = StopSignals();
+  sigaddset(&set, SIGHUP);
+  return set;
+}
+
 }  // namespace
 
 void BlockStopSignals() {
-  const sigset_t set = StopSignals();
+  const sigset_t set = BlockedSignals();
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 }
