Shorten the start of a ring that restarts whole

Change: shorter first elections, registrations in the log, requests wait up to 1.2 s at a started entry. Ruled out: log replay (0.1 s).

--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -47,6 +47,7 @@
   int64_t tick_ms = 50;
   int32_t heartbeat_ticks = 2;
   int32_t election_ticks = 20;           ///< Randomized over [n, 2n].
+  int32_t first_election_ticks = 0;      ///< See Replica::Init.
   size_t max_pending_proposals = 4'096;  ///< For each group.
   uint64_t snapshot_entries = 20'000;  ///< Log length that triggers a snapshot.
   ProgramLimits program_limits;
--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -321,6 +321,9 @@
     ReplicaNumber id = 0;
     int32_t heartbeat_ticks = 2;
     int32_t election_ticks = 20;  ///< Randomized over [n, 2n].
+    /// Used instead until a leader has been heard since the start; 0: none.
+    /// There is nothing to wait for when all replicas have just started.
+    int32_t first_election_ticks = 0;
     uint64_t seed = 1;
     size_t max_append_bytes = 1u << 20;    ///< Entries of one message.
     size_t max_snapshot_chunk = 1u << 20;  ///< At most 1 MiB.
--- a/include/persimmonring/registrar.h
+++ b/include/persimmonring/registrar.h
@@ -84,6 +84,7 @@
 
   void OnConfiguration(uint64_t version,
                        std::shared_ptr<const std::string> document) override;
+  void OnUpstream(const fb::RegisterUpstreamT& upstream) override;
   void OnDeparture(const UpstreamDeparture& departure) override;
   void OnRetire(const std::set<std::string>& nodes) override;
 
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -38,6 +38,7 @@
   virtual void OnConfiguration(
       uint64_t version,
       std::shared_ptr<const std::string> document) = 0;
+  virtual void OnUpstream(const fb::RegisterUpstreamT& upstream) = 0;
   virtual void OnDeparture(const UpstreamDeparture& departure) = 0;
   virtual void OnRetire(const std::set<std::string>& nodes) = 0;
 };
@@ -51,6 +52,8 @@
     int64_t clock_slack_ms = 15'000;
     /// A program without open turns is forgotten after this time.
     int64_t program_retention_ms = 180'000;
+    /// Registrations are kept this long without being repeated.
+    int64_t registration_retention_ms = 600'000;
     /// Departures are kept this long; an address is used again much earlier.
     int64_t departure_retention_ms = 600'000;
   };
@@ -76,6 +79,7 @@
 namespace state_codec {
 std::string EncodePutConfiguration(uint64_t version,
                                    const std::string& document);
+std::string EncodeRegister(const fb::RegisterUpstreamT& upstream);
 std::string EncodeDeparture(const UpstreamDeparture& departure);
 std::string EncodeBegin(const fb::BeginTurnT& begin);
 std::string EncodeFinish(const fb::FinishTurnT& finish);
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -11,6 +11,8 @@
 // Upstreams answer a connection request within a round trip between regions
 // (16 ms) if they are well; later ones are tried elsewhere.
 constexpr int64_t kConnectTimeoutMs = 300;
+// Wait of a request for a started entry to know where to send it.
+constexpr int64_t kStartWaitMs = 1'200;
 // Sends of one request that ran nowhere; bounds the time spent on full servers.
 constexpr int32_t kMaxSends = 5;
 // A turn waits this long for the state group: longer than an election.
@@ -83,7 +85,8 @@
       random_(HashOf(info_.id)),
       start_ms_(gateway.loop().now_ms()),
       deadline_timer_(gateway.loop()),
-      connect_timer_(gateway.loop()) {}
+      connect_timer_(gateway.loop()),
+      wait_timer_(gateway.loop()) {}
 
 GatewayCall::~GatewayCall() = default;
 
@@ -91,7 +94,39 @@
   return deadline_ms_ - gateway_.loop().now_ms();
 }
 
+// A started entry learns configuration and upstreams within a second or two;
+// a caller is served sooner by a short wait than by a refusal.
+bool GatewayCall::WaitForStart() {
+  if (waited_ || !gateway_.starting()) {
+    return false;
+  }
+  waited_ = true;
+  constexpr int64_t kWaitShare = 3;
+  const int64_t wait_ms = std::min(
+      kStartWaitMs, info_.wait_ms.value_or(kDefaultWaitMs) / kWaitShare);
+  wait_timer_.Start(wait_ms, [this] {
+    gateway_.StopWaiting(this);
+    table_ ? Send() : Begin();
+  });
+  gateway_.WaitForNews(this);
+  return true;
+}
+
+void GatewayCall::Resume() {
+  wait_timer_.Stop();
+  waited_ = false;
+  if (table_) {
+    Send();
+  } else {
+    Begin();
+  }
+}
+
 void GatewayCall::Begin() {
+  table_ = gateway_.table();
+  if (!table_ && WaitForStart()) {
+    return;
+  }
   if (!table_) {
     return Refuse({Reason::kNoQuorum, RunState::kNotRun,
                    "no configuration is known yet", kRetryAfterMs});
@@ -203,6 +238,9 @@
     return OnDeadline();
   }
   const auto upstream = gateway_.Place(service_, *this);
+  if (!upstream && WaitForStart()) {
+    return;
+  }
   if (!upstream) {
     return Refuse({Reason::kNoUpstream,
                    maybe_run_ ? RunState::kUnknown : RunState::kNotRun,
@@ -560,6 +598,8 @@
     ended_ = true;
     deadline_timer_.Stop();
     connect_timer_.Stop();
+    wait_timer_.Stop();
+    gateway_.StopWaiting(this);
     gateway_.Remove(this);
   }
 }
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -14,6 +14,8 @@
 // A keeper that did not hand out the configuration is asked again after this.
 constexpr int64_t kConfigRetryMs = 150;
 constexpr int64_t kConfigTimeoutMs = 1'000;
+// A started entry that knows little expects to learn more for this time.
+constexpr int64_t kStartMs = 6'000;
 constexpr int64_t kDrainCheckMs = 50;
 // Left for the process to end before it is killed.
 constexpr int64_t kGraceMarginMs = 400;
@@ -85,6 +87,7 @@
   }
   ready_server_ = std::move(*ready);
   AddKeepers(init_.keepers);
+  news_until_ms_ = loop_.now_ms() + kStartMs;
   loop_.Every(kPruneMs, [this] { upstreams_.Prune(); });
   return Done{};
 }
@@ -95,6 +98,16 @@
   }
 }
 
+bool Gateway::Impl::starting() const {
+  return loop_.now_ms() < news_until_ms_;
+}
+
+void Gateway::Impl::ResumeWaiting() {
+  for (GatewayCall* call : std::exchange(waiting_, {})) {
+    call->Resume();
+  }
+}
+
 bool Gateway::Impl::ready() const {
   return table_ != nullptr && !draining_;
 }
@@ -163,6 +176,7 @@
     }
   }
   upstreams_.Merge(node, update->whole(), reports);
+  ResumeWaiting();
 }
 
 void Gateway::Impl::OnConfigNotice(SessionHandle session,
@@ -215,6 +229,7 @@
       .Add("version", table_->version())
       .Add("before", held)
       .Add("routes", uint64_t{table_->routes().size()});
+  ResumeWaiting();
 }
 
 void Gateway::Impl::OnKeeperList(const std::string& payload) {
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -53,6 +53,11 @@
   void NoteFailure(const UpstreamInstance& upstream, Reason reason);
   void NoteSuccess(const std::string& instance) { suspects_.erase(instance); }
   void Remove(GatewayCall* call);
+  /// Resumes the call when the configuration or the upstreams change.
+  void WaitForNews(GatewayCall* call) { waiting_.insert(call); }
+  void StopWaiting(GatewayCall* call) { waiting_.erase(call); }
+  /// @returns true while what is known may still be incomplete
+  bool starting() const;
 
   const GatewayInit& init() const { return init_; }
   const CallerProtocolI& protocol() const { return protocol_; }
@@ -74,6 +79,7 @@
   void OnConfigNotice(SessionHandle session, const std::string& payload);
   void OnKeeperList(const std::string& payload);
   void FetchConfiguration();
+  void ResumeWaiting();
   void Install(const std::string& document);
   bool ready() const;
   void CheckDrained();
@@ -97,6 +103,8 @@
   std::unique_ptr<HttpServer> ready_server_;
   std::unordered_map<GatewayCall*, std::unique_ptr<GatewayCall>> calls_;
   std::unordered_map<HttpServerConnection*, GatewayCall*> by_connection_;
+  std::set<GatewayCall*> waiting_;
+  int64_t news_until_ms_ = 0;  ///< News of a start is expected until then.
   bool draining_ = false;
   int64_t drain_started_ms_ = 0;
   std::function<void()> drained_;
@@ -111,6 +119,8 @@
   ~GatewayCall() override;
 
   void Begin();
+  /// What the call waited for may be there.
+  void Resume();
   /// The caller has left.
   void OnCallerGone();
   /// The caller has taken what was written.
@@ -133,6 +143,7 @@
   bool may_repeat() const { return route_->kind == RepeatKind::kIdempotent; }
   int64_t left_ms() const;
 
+  bool WaitForStart();
   void BeginTurn();
   void OnTurnBegun(const Outcome<fb::StateResultT>& outcome);
   void FinishTurn(bool complete, std::function<void(bool kept)> then);
@@ -164,6 +175,7 @@
   int64_t deadline_ms_ = 0;
   ScopedTimer deadline_timer_;
   ScopedTimer connect_timer_;
+  ScopedTimer wait_timer_;
 
   std::unique_ptr<Turn> turn_;  ///< Of a route that keeps turns.
   std::string last_upstream_;   ///< Ran the previous turn.
@@ -183,6 +195,7 @@
   bool forwarding_ = false;
   bool response_done_ = false;
   bool ended_ = false;
+  bool waited_ = false;  ///< For the start of the entry.
   /// Expires with the call, for answers that come later.
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -58,6 +58,7 @@
   replica.election_ticks = init_.election_ticks;
   replica.seed = init_.seed;
   replica.max_voters = init_.max_voters;
+  replica.first_election_ticks = init_.first_election_ticks;
   replica.load_snapshot = [this]() -> std::shared_ptr<const Snapshot> {
     auto loaded = wal_->LoadSnapshot();
     return loaded ? std::make_shared<const Snapshot>(std::move(*loaded))
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -51,6 +51,7 @@
     int64_t tick_ms = 50;
     int32_t heartbeat_ticks = 2;
     int32_t election_ticks = 20;
+    int32_t first_election_ticks = 0;
     size_t max_pending = 4'096;
     uint64_t snapshot_entries = 20'000;
     uint64_t seed = 1;
--- a/src/keeper_host.cc
+++ b/src/keeper_host.cc
@@ -93,6 +93,7 @@
     group.tick_ms = init_.tick_ms;
     group.heartbeat_ticks = init_.heartbeat_ticks;
     group.election_ticks = init_.election_ticks;
+    group.first_election_ticks = init_.first_election_ticks;
     group.max_pending = init_.max_pending_proposals;
     group.snapshot_entries = init_.snapshot_entries;
     group.automatic_members = init_.automatic_members;
--- a/src/log_replica_election.cc
+++ b/src/log_replica_election.cc
@@ -38,8 +38,10 @@
 void Replica::Impl::ResetElection() {
   elapsed_ = 0;
   heartbeat_elapsed_ = 0;
-  timeout_ =
-      UniformMs(rng_, init_.election_ticks, int64_t{2} * init_.election_ticks);
+  const int64_t ticks = heard_leader_ || init_.first_election_ticks == 0
+                            ? init_.election_ticks
+                            : init_.first_election_ticks;
+  timeout_ = UniformMs(rng_, ticks, 2 * ticks);
   votes_.clear();
 }
 
@@ -49,6 +51,7 @@
   }
   role_ = ReplicaRole::kFollower;
   leader_ = leader;
+  heard_leader_ = heard_leader_ || leader != 0;
   transfer_target_ = 0;
   progress_.clear();
   for (const Read& read : reads_) {
@@ -108,6 +111,7 @@
 }
 
 void Replica::Impl::BecomeLeader(int64_t now_ms) {
+  heard_leader_ = true;
   ResetElection();
   role_ = ReplicaRole::kLeader;
   leader_ = init_.id;
--- a/src/log_replica_p.h
+++ b/src/log_replica_p.h
@@ -131,6 +131,7 @@
   int64_t tick_ = 0;
   int64_t elapsed_ = 0;
   int64_t timeout_ = 0;
+  bool heard_leader_ = false;  // Since the start.
   int64_t heartbeat_elapsed_ = 0;
   std::map<ReplicaNumber, bool> votes_;
   std::map<ReplicaNumber, Progress> progress_;
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int64_t kSilenceCheckMs = 500;
+// Registrations are repeated long before the log forgets them (10 minutes).
+constexpr int64_t kRegisterAgainMs = 240'000;
 // Keepers and entries are told of keepers and the configuration again after
 // this time, in case a message was lost with its session.
 constexpr int64_t kRepeatMs = 2'000;
@@ -77,6 +79,7 @@
   void OnMembers(const LogConfig& config);
   void OnConfiguration(uint64_t version);
   void OnDeparture(const UpstreamDeparture& departure);
+  void OnRegistered(const fb::RegisterUpstreamT& upstream);
 
   StateClient& state() { return *state_; }
   const RegistrarInit& init() const { return init_; }
@@ -97,6 +100,7 @@
   };
   using Key = std::pair<std::string, int64_t>;
 
+  void Register(const UpstreamInstance& upstream);
   void RecordDeparture(const UpstreamDeparture& departure,
                        const Answer& answer);
   bool IsDeparted(const UpstreamDeparture& departure) const;
@@ -118,6 +122,7 @@
   std::unique_ptr<StateClient> state_;
   std::map<std::string, Heard> upstreams_;  // By instance.
   std::map<Key, bool> departures_;          // true: gone
+  std::map<Key, int64_t> registered_ms_;    // When the log was told or heard.
   std::map<SessionHandle, std::string> entries_;
   std::map<SessionHandle, std::string> keepers_;
   std::map<std::string, std::string> vms_;  // VM to the address of its keeper.
@@ -179,6 +184,7 @@
     PushUpstreams({&known}, false, std::nullopt);
   }
   if (upstream.state == UpstreamState::kReady) {
+    Register(upstream);
     return answer(Done{});
   }
   RecordDeparture({upstream.instance, upstream.born_ms,
@@ -186,6 +192,55 @@
                   answer);
 }
 
+// The log holds who was there, so that a ring that restarts whole can serve
+// before every upstream has announced itself again.
+void Registrar::Impl::Register(const UpstreamInstance& upstream) {
+  int64_t& registered_ms = registered_ms_[{upstream.instance,
+                                           upstream.born_ms}];
+  if (registered_ms != 0 &&
+      loop_.now_ms() - registered_ms < kRegisterAgainMs) {
+    return;
+  }
+  registered_ms = loop_.now_ms();
+  fb::RegisterUpstreamT record;
+  record.instance = upstream.instance;
+  record.service = upstream.service;
+  record.address = upstream.address.ToString();
+  record.domain = upstream.domain;
+  record.version = upstream.version;
+  record.slots = upstream.slots;
+  record.born_ms = upstream.born_ms;
+  state_->Propose(state_codec::EncodeRegister(record), init_.order_timeout_ms,
+                  [this, key = Key(upstream.instance, upstream.born_ms)](
+                      const Outcome<fb::StateResultT>& outcome) {
+                    if (!outcome) {
+                      // The next announcement tries again.
+                      registered_ms_.erase(key);
+                    }
+                  });
+}
+
+// Counts as heard for a while, until it announces itself or stays silent.
+void Registrar::Impl::OnRegistered(const fb::RegisterUpstreamT& record) {
+  registered_ms_[{record.instance, record.born_ms}] = loop_.now_ms();
+  const auto known = upstreams_.find(record.instance);
+  if (known != upstreams_.end() &&
+      known->second.upstream.born_ms >= record.born_ms) {
+    return;
+  }
+  UpstreamInstance upstream;
+  upstream.instance = record.instance;
+  upstream.service = record.service;
+  upstream.address = Endpoint::Parse(record.address).value_or(Endpoint{});
+  upstream.domain = record.domain;
+  upstream.version = record.version;
+  upstream.slots = record.slots;
+  upstream.born_ms = record.born_ms;
+  Heard& row = upstreams_[record.instance];
+  row = {upstream, loop_.now_ms(), true};
+  PushUpstreams({&row}, false, std::nullopt);
+}
+
 void Registrar::Impl::Deregister(const std::string& instance,
                                  std::optional<int64_t> born_ms,
                                  const Answer& answer) {
@@ -239,6 +294,9 @@
   if (!lost.empty()) {
     PushUpstreams(lost, false, std::nullopt);
   }
+  std::erase_if(registered_ms_, [&](const auto& item) {
+    return loop_.now_ms() - item.second > 2 * kRegisterAgainMs;
+  });
   constexpr int64_t kForgetPeriods = 100;
   std::erase_if(upstreams_, [&](const auto& item) {
     return !item.second.heard &&
@@ -596,6 +654,10 @@
   impl_->loop().Post([this, version] { impl_->OnConfiguration(version); });
 }
 
+void Registrar::OnUpstream(const fb::RegisterUpstreamT& upstream) {
+  impl_->loop().Post([this, upstream] { impl_->OnRegistered(upstream); });
+}
+
 void Registrar::OnDeparture(const UpstreamDeparture& departure) {
   impl_->loop().Post([this, departure] { impl_->OnDeparture(departure); });
 }
--- a/src/state_codec.cc
+++ b/src/state_codec.cc
@@ -31,6 +31,10 @@
   return EncodeCommand(std::move(depart));
 }
 
+std::string EncodeRegister(const fb::RegisterUpstreamT& upstream) {
+  return EncodeCommand(upstream);
+}
+
 std::string EncodeBegin(const fb::BeginTurnT& begin) {
   return EncodeCommand(begin);
 }
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -62,6 +62,8 @@
     case fb::StateCommandBody::ExpireTurns:
       Expire();
       return Result(fb::StateCode::Done);
+    case fb::StateCommandBody::RegisterUpstream:
+      return Register(*command.body_as_RegisterUpstream());
     case fb::StateCommandBody::NONE:
       break;
   }
@@ -82,6 +84,21 @@
   return Result(fb::StateCode::Done);
 }
 
+fb::StateResultT RingStateMachine::Impl::Register(
+    const fb::RegisterUpstream& command) {
+  const std::string instance = TextFrom(command.instance());
+  Registration& registration = registrations_[instance];
+  if (command.born_ms() < registration.value.born_ms) {
+    return Result(fb::StateCode::Done);
+  }
+  command.UnPackTo(&registration.value);
+  registration.recorded_ms = now_ms_;
+  if (observer_ != nullptr) {
+    observer_->OnUpstream(registration.value);
+  }
+  return Result(fb::StateCode::Done);
+}
+
 fb::StateResultT RingStateMachine::Impl::Depart(
     const fb::DepartUpstream& command) {
   UpstreamDeparture departure{TextFrom(command.instance()), command.born_ms(),
@@ -91,6 +108,11 @@
   it->second.recorded_ms = now_ms_;
   const bool changed = added || (departure.gone && !it->second.value.gone);
   it->second.value.gone = it->second.value.gone || departure.gone;
+  const auto registered = registrations_.find(departure.instance);
+  if (departure.gone && registered != registrations_.end() &&
+      registered->second.value.born_ms <= departure.born_ms) {
+    registrations_.erase(registered);
+  }
   if (changed && observer_ != nullptr) {
     observer_->OnDeparture(it->second.value);
   }
@@ -202,6 +224,14 @@
   std::erase_if(programs_, [this](const auto& item) {
     return item.second.touched_ms + init_.program_retention_ms < now_ms_;
   });
+  for (auto& [instance, registration] : registrations_) {
+    if (registration.recorded_ms == 0) {
+      registration.recorded_ms = now_ms_;
+    }
+  }
+  std::erase_if(registrations_, [this](const auto& item) {
+    return item.second.recorded_ms + init_.registration_retention_ms < now_ms_;
+  });
   for (auto& [key, departure] : departures_) {
     // A snapshot does not say when it was recorded.
     if (departure.recorded_ms == 0) {
@@ -233,6 +263,9 @@
   if (version_ > 0) {
     observer_->OnConfiguration(version_, document_);
   }
+  for (const auto& [instance, registration] : registrations_) {
+    observer_->OnUpstream(registration.value);
+  }
   for (const auto& [key, departure] : departures_) {
     observer_->OnDeparture(departure.value);
   }
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -39,8 +39,14 @@
     int64_t recorded_ms = 0;
   };
 
+  struct Registration {
+    fb::RegisterUpstreamT value;
+    int64_t recorded_ms = 0;
+  };
+
   fb::StateResultT Dispatch(const fb::StateCommand& command);
   fb::StateResultT Put(const fb::PutConfiguration& command);
+  fb::StateResultT Register(const fb::RegisterUpstream& command);
   fb::StateResultT Depart(const fb::DepartUpstream& command);
   fb::StateResultT Begin(const fb::BeginTurn& command);
   fb::StateResultT Finish(const fb::FinishTurn& command);
@@ -63,6 +69,7 @@
   uint64_t version_ = 0;
   std::shared_ptr<const std::string> document_ =
       std::make_shared<const std::string>();
+  std::map<std::string, Registration> registrations_;  ///< By instance.
   std::map<std::string, Departure> departures_;  ///< By instance and start.
   std::map<std::string, Program> programs_;
   std::map<std::string, KeptTurn> turns_;
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -20,6 +20,10 @@
     row->gone = departure.value.gone;
     snapshot.departures.push_back(std::move(row));
   }
+  for (const auto& [instance, registration] : registrations_) {
+    snapshot.upstreams.push_back(
+        std::make_unique<fb::RegisterUpstreamT>(registration.value));
+  }
   for (const auto& [id, program] : programs_) {
     auto row = std::make_unique<fb::ProgramRecordT>();
     row->program = id;
@@ -73,6 +77,9 @@
     const UpstreamDeparture value{row->instance, row->born_ms, row->gone};
     departures_[row->instance + "/" + std::to_string(row->born_ms)] = {value, 0};
   }
+  for (const auto& row : snapshot.upstreams) {
+    registrations_[row->instance] = {*row, 0};
+  }
   for (const auto& row : snapshot.programs) {
     Program& program = programs_[row->program];
     program.spent_tokens = row->spent_tokens;
