--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -48,6 +48,8 @@
   int32_t heartbeat_ticks = 2;
   int32_t election_ticks = 20;           ///< Randomized over [n, 2n].
   int32_t first_election_ticks = 0;      ///< See Replica::Init.
+  size_t max_append_bytes = 1u << 20;    ///< Entries of one message.
+  size_t max_inflight_appends = 64;      ///< Unanswered, for each member.
   size_t max_pending_proposals = 4'096;  ///< For each group.
   uint64_t snapshot_entries = 20'000;  ///< Log length that triggers a snapshot.
   ProgramLimits program_limits;
@@ -90,6 +92,7 @@
 /// What a leader decides a change of members from.
 struct MembershipInput {
   ReplicaNumber self = 0;
+  /// What was committed a moment ago; a learner that has it keeps up.
   uint64_t commit_index = 0;
   std::vector<MemberProgress> members;
   std::vector<JoinRequest> joins;        ///< Heard a moment ago.
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -59,6 +59,9 @@
   replica.seed = init_.seed;
   replica.max_voters = init_.max_voters;
   replica.first_election_ticks = init_.first_election_ticks;
+  replica.max_append_bytes = init_.max_append_bytes;
+  replica.max_snapshot_chunk = init_.max_append_bytes;
+  replica.max_inflight_appends = init_.max_inflight_appends;
   replica.load_snapshot = [this]() -> std::shared_ptr<const Snapshot> {
     auto loaded = wal_->LoadSnapshot();
     return loaded ? std::make_shared<const Snapshot>(std::move(*loaded))
--- a/src/keeper_group_members.cc
+++ b/src/keeper_group_members.cc
@@ -64,7 +64,7 @@
   const ReplicaStatus status = replica_->status();
   MembershipInput input;
   input.self = status.id;
-  input.commit_index = status.commit_index;
+  input.commit_index = std::exchange(earlier_commit_, status.commit_index);
   input.members = status.members;
   input.max_voters = init_.max_voters;
   input.lost_ticks = kLostMs / init_.tick_ms;
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -52,6 +52,8 @@
     int32_t heartbeat_ticks = 2;
     int32_t election_ticks = 20;
     int32_t first_election_ticks = 0;
+    size_t max_append_bytes = 1u << 20;
+    size_t max_inflight_appends = 64;
     size_t max_pending = 4'096;
     uint64_t snapshot_entries = 20'000;
     uint64_t seed = 1;
@@ -171,6 +173,7 @@
   };
   std::map<ReplicaNumber, HeardJoin> joins_;
   int64_t next_maintenance_ms_ = 0;
+  uint64_t earlier_commit_ = 0;  ///< At the last look at the members.
   int64_t leader_seen_ms_ = 0;
   NodeVersionTable versions_;
   uint64_t control_version_ = 0;
--- a/src/keeper_host.cc
+++ b/src/keeper_host.cc
@@ -94,6 +94,8 @@
     group.heartbeat_ticks = init_.heartbeat_ticks;
     group.election_ticks = init_.election_ticks;
     group.first_election_ticks = init_.first_election_ticks;
+    group.max_append_bytes = init_.max_append_bytes;
+    group.max_inflight_appends = init_.max_inflight_appends;
     group.max_pending = init_.max_pending_proposals;
     group.snapshot_entries = init_.snapshot_entries;
     group.automatic_members = init_.automatic_members;
