--- /dev/null
+++ b/fakes/scripted_upstream.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <poll.h>
+
+#include "fakes/free_port.h"
+#include "persimmonring/core.h"
+
+namespace ring::fakes {
+
+/// What a scripted upstream does with one request.
+struct ScriptedReply {
+  enum class Then : uint8_t {
+    kKeep,   ///< Waits for the next request on the connection.
+    kClose,  ///< Closes in order.
+    kReset,
+    kStall,  ///< Keeps the connection open without a word.
+  };
+  std::vector<std::string> pieces;  ///< Sent one after the other.
+  Then then = Then::kKeep;
+};
+
+/// Upstream on loopback whose replies a test scripts, and which remembers the
+/// requests that reached it.
+class ScriptedUpstream {
+ public:
+  using Script = std::function<ScriptedReply(const std::string& request)>;
+
+  explicit ScriptedUpstream(Script script) : script_(std::move(script)) {
+    listen_fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    RING_CHECK(bind(listen_fd_, reinterpret_cast<sockaddr*>(&address), size) ==
+               0);
+    RING_CHECK(listen(listen_fd_, SOMAXCONN) == 0);
+    getsockname(listen_fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    endpoint_ = {.ip = "127.0.0.1", .port = ntohs(address.sin_port)};
+    accepting_ = std::thread([this] { Accept(); });
+  }
+  ~ScriptedUpstream() {
+    stop_.store(true);
+    accepting_.join();
+    for (std::thread& thread : serving_) {
+      thread.join();
+    }
+    close(listen_fd_);
+  }
+  ScriptedUpstream(const ScriptedUpstream&) = delete;
+  ScriptedUpstream& operator=(const ScriptedUpstream&) = delete;
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  std::vector<std::string> requests() const {
+    std::lock_guard lock(mutex_);
+    return requests_;
+  }
+  int connections() const { return connections_.load(); }
+  /// @returns true once a peer has closed a connection that stalls
+  bool abandoned() const { return abandoned_.load(); }
+
+ private:
+  static constexpr int kPollMs = 5;
+
+  static bool Readable(int fd) {
+    pollfd item = {.fd = fd, .events = POLLIN, .revents = 0};
+    return poll(&item, 1, kPollMs) > 0;
+  }
+
+  void Accept() {
+    while (!stop_.load()) {
+      if (Readable(listen_fd_)) {
+        const int fd = accept(listen_fd_, nullptr, nullptr);
+        connections_.fetch_add(1);
+        serving_.emplace_back([this, fd] { Serve(fd); });
+      }
+    }
+  }
+
+  // @returns a whole request, or an empty text at the end of the connection
+  std::string ReadRequest(int fd) {
+    constexpr std::string_view kLength = "Content-Length: ";
+    std::string text;
+    char buffer[4'096];
+    while (!stop_.load()) {
+      const size_t head = text.find("\r\n\r\n");
+      if (head != std::string::npos) {
+        const size_t at = text.find(kLength);
+        const size_t body =
+            at < head ? std::stoul(text.substr(at + kLength.size())) : 0;
+        if (text.size() >= head + 4 + body) {
+          return text;
+        }
+      }
+      if (!Readable(fd)) {
+        continue;
+      }
+      const ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
+      if (got <= 0) {
+        return "";
+      }
+      text.append(buffer, static_cast<size_t>(got));
+    }
+    return "";
+  }
+
+  void Serve(int fd) {
+    while (true) {
+      const std::string request = ReadRequest(fd);
+      if (request.empty()) {
+        break;
+      }
+      {
+        std::lock_guard lock(mutex_);
+        requests_.push_back(request);
+      }
+      const ScriptedReply reply = script_(request);
+      for (const std::string& piece : reply.pieces) {
+        send(fd, piece.data(), piece.size(), MSG_NOSIGNAL);
+        // Lets each piece arrive by itself.
+        std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
+      }
+      if (reply.then == ScriptedReply::Then::kStall) {
+        char byte = 0;
+        while (!stop_.load() && !(Readable(fd) && recv(fd, &byte, 1, 0) <= 0)) {
+        }
+        abandoned_.store(!stop_.load());
+        break;
+      }
+      if (reply.then == ScriptedReply::Then::kReset) {
+        const linger now = {.l_onoff = 1, .l_linger = 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        break;
+      }
+      if (reply.then == ScriptedReply::Then::kClose) {
+        break;
+      }
+    }
+    close(fd);
+  }
+
+  const Script script_;
+  int listen_fd_ = -1;
+  Endpoint endpoint_;
+  std::atomic<bool> stop_{false};
+  std::atomic<bool> abandoned_{false};
+  std::atomic<int> connections_{0};
+  mutable std::mutex mutex_;
+  std::vector<std::string> requests_;
+  std::thread accepting_;
+  std::vector<std::thread> serving_;  // Only the accepting thread adds.
+};
+
+}  // namespace ring::fakes
--- a/include/persimmonring/runtime.h
+++ b/include/persimmonring/runtime.h
@@ -235,8 +235,15 @@
   std::string node;     ///< Written as node= on every line.
   LogLevel level = LogLevel::kInfo;
   std::string file;  ///< Empty: standard error.
+  /// Writes to standard output instead, by a thread of its own. When its queue
+  /// is full, the oldest lines are lost, so that no caller ever waits.
+  bool standard_output = false;
+  /// Lines below kWarn beyond this rate are dropped and counted; 0: no bound.
+  int64_t max_lines_per_s = 0;
 };
 void InitLog(const LogInit& init);
+/// Writes what waits and ends the writing thread. Call last in main.
+void CloseLog();
 
 /// One log line of key=value pairs, written when the object is destroyed:
 ///   Event(LogLevel::kInfo, "note_accepted").Add("number", number);
--- a/src/runtime_log.cc
+++ b/src/runtime_log.cc
@@ -1,5 +1,8 @@
 #include "persimmonring/runtime.h"
 
+#include <atomic>
+
+#include <spdlog/async.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -7,6 +10,8 @@
 namespace ring {
 namespace {
 
+constexpr char kPattern[] = "%Y-%m-%dT%H:%M:%S.%eZ %v";
+
 std::string& Prefix() {
   static std::string prefix;
   return prefix;
@@ -16,13 +21,51 @@
   static std::shared_ptr<spdlog::logger> logger = [] {
     auto created = std::make_shared<spdlog::logger>(
         "ring", std::make_shared<spdlog::sinks::stderr_sink_mt>());
-    created->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %v",
-                         spdlog::pattern_time_type::utc);
+    created->set_pattern(kPattern, spdlog::pattern_time_type::utc);
     return created;
   }();
   return logger;
 }
 
+// Lines that may wait for the writing thread.
+constexpr size_t kQueuedLines = 1'024;
+constexpr int64_t kMsPerSecond = 1'000;
+
+// Lets a number of lines pass in each second.
+class LineLimit {
+ public:
+  void SetMax(int64_t per_second) { max_ = per_second; }
+  bool Allow() {
+    if (max_ == 0) {
+      return true;
+    }
+    const int64_t second = SystemClock().NowMs() / kMsPerSecond;
+    if (second_.exchange(second) != second) {
+      lines_ = 0;
+      if (const int64_t dropped = dropped_.exchange(0); dropped > 0) {
+        Event(LogLevel::kWarn, "log_lines_dropped").Add("lines", dropped);
+      }
+    }
+    if (lines_.fetch_add(1) < max_) {
+      return true;
+    }
+    dropped_.fetch_add(1);
+    metrics::Count("ring_log_lines_dropped_total");
+    return false;
+  }
+
+ private:
+  std::atomic<int64_t> max_{0};
+  std::atomic<int64_t> second_{0};
+  std::atomic<int64_t> lines_{0};
+  std::atomic<int64_t> dropped_{0};
+};
+
+LineLimit& Limit() {
+  static LineLimit limit;
+  return limit;
+}
+
 spdlog::level::level_enum ToSpdlog(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -87,21 +130,34 @@
   if (!init.file.empty()) {
     auto created = std::make_shared<spdlog::logger>(
         "ring", std::make_shared<spdlog::sinks::basic_file_sink_mt>(init.file));
-    created->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %v",
-                         spdlog::pattern_time_type::utc);
+    created->set_pattern(kPattern, spdlog::pattern_time_type::utc);
+    Logger() = created;
+  } else if (init.standard_output) {
+    spdlog::init_thread_pool(kQueuedLines, 1);
+    auto created = std::make_shared<spdlog::async_logger>(
+        "ring", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+        spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    created->set_pattern(kPattern, spdlog::pattern_time_type::utc);
     Logger() = created;
   }
+  Limit().SetMax(init.max_lines_per_s);
   Logger()->set_level(ToSpdlog(init.level));
   Logger()->flush_on(spdlog::level::debug);
   Prefix() = " proc=" + init.process + " node=" + init.node;
 }
 
+void CloseLog() {
+  Logger()->flush();
+  spdlog::shutdown();
+}
+
 Event::Event(LogLevel level, std::string_view name) : level_(level) {
   line_ = "event=" + std::string(name) + " level=" + LevelName(level);
 }
 
 Event::~Event() {
-  if (Logger()->should_log(ToSpdlog(level_))) {
+  const bool urgent = level_ >= LogLevel::kWarn;
+  if (Logger()->should_log(ToSpdlog(level_)) && (urgent || Limit().Allow())) {
     Logger()->log(ToSpdlog(level_), "{}{}", line_, Prefix());
   }
 }
--- /dev/null
+++ b/tests/gateway_call_test.cc
@@ -0,0 +1,272 @@
+#include "tests/gateway_fixture.h"
+
+namespace ring {
+namespace {
+
+using fakes::ScriptedReply;
+using fakes::ScriptedUpstream;
+using Then = ScriptedReply::Then;
+
+constexpr char kTurns[] = R"(,"retainContext":true,"retentionS":60)";
+
+class GatewayCallTest : public GatewayTest {
+ protected:
+  void ServeTool(ScriptedUpstream::Script script) {
+    upstreams_.push_back(std::make_unique<ScriptedUpstream>(std::move(script)));
+    Announce("i-" + std::to_string(upstreams_.size()), "tool",
+             upstreams_.back()->endpoint());
+  }
+  void ServeEngine(ScriptedUpstream::Script script) {
+    upstreams_.push_back(std::make_unique<ScriptedUpstream>(std::move(script)));
+    Announce("i-" + std::to_string(upstreams_.size()), "engine",
+             upstreams_.back()->endpoint());
+  }
+  void ConfigureAll() {
+    Configure(1, RouteOf("read", "safe", "tool") + "," +
+                     RouteOf("order", "unsafe", "tool") + "," +
+                     RouteOf("turn", "stream", "engine", kTurns));
+  }
+  size_t Requests() const {
+    size_t count = 0;
+    for (const auto& upstream : upstreams_) {
+      count += upstream->requests().size();
+    }
+    return count;
+  }
+  static ScriptedReply Events(const std::string& request,
+                              const std::vector<std::string>& data) {
+    ScriptedReply reply{{StreamHead(request)}};
+    int64_t id = 0;
+    for (const std::string& one : data) {
+      reply.pieces.push_back(Chunk("id: " + std::to_string(++id) +
+                                   "\ndata: " + one + "\n\n"));
+    }
+    reply.pieces.push_back("0\r\n\r\n");
+    return reply;
+  }
+
+  std::vector<std::unique_ptr<ScriptedUpstream>> upstreams_;
+};
+
+// Guards against a body, status or header that does not pass unchanged.
+TEST_F(GatewayCallTest, WholeAnswer_ReachesTheCallerUnchanged) {
+  ServeTool([](const std::string& request) {
+    return ScriptedReply{{Whole(418, request, "body", "Own: kept\r\n")}};
+  });
+  ConfigureAll();
+  const CallerAnswer answer = Get("/read/1?q=2", "Request-Id: r1");
+  EXPECT_EQ(answer.status(), 418);
+  EXPECT_NE(answer.text.find("Own: kept\r\n"), std::string::npos);
+  EXPECT_TRUE(answer.text.ends_with("\r\n\r\nbody"));
+  EXPECT_EQ(upstreams_[0]->requests()[0].rfind("GET /read/1?q=2 ", 0), 0u);
+}
+
+// Guards against an order that runs twice after its answer was lost, and
+// against "not run" said of it.
+TEST_F(GatewayCallTest, OrderWithLostAnswer_IsNotRepeated) {
+  const auto lose = [](const std::string&) {
+    return ScriptedReply{{}, Then::kReset};
+  };
+  ServeTool(lose);
+  ServeTool(lose);
+  ConfigureAll();
+  const CallerAnswer answer = Post("/order/1", "Request-Id: r1", "pay");
+  EXPECT_EQ(answer.status(), 502);
+  EXPECT_EQ(Requests(), 1u);
+}
+
+// Guards against a read that fails although another upstream would answer.
+TEST_F(GatewayCallTest, ReadWithLostAnswer_IsRepeatedElsewhere) {
+  ServeTool([](const std::string&) { return ScriptedReply{{}, Then::kReset}; });
+  ServeTool([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  });
+  ConfigureAll();
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(Get("/read/1", "Request-Id: r" + std::to_string(i)).status(),
+              200);
+  }
+}
+
+// Guards against an order that is given up although no upstream has run it.
+TEST_F(GatewayCallTest, OrderThatDidNotRun_IsSentToAnotherUpstream) {
+  std::atomic<int> refused{0};
+  const auto refuse_first = [&refused](const std::string& request) {
+    if (refused.fetch_add(1) == 0) {
+      return ScriptedReply{
+          {Whole(503, request, "", "Persimmonring-Not-Executed: 1\r\n")}};
+    }
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  };
+  ServeTool(refuse_first);
+  ServeTool(refuse_first);
+  ConfigureAll();
+  EXPECT_EQ(Post("/order/1", "Request-Id: r1", "pay").status(), 200);
+  EXPECT_EQ(Requests(), 2u);
+}
+
+// Guards against half a body that is passed on as a success.
+TEST_F(GatewayCallTest, CutOffAnswer_IsNoSuccess) {
+  ServeTool([](const std::string& request) {
+    std::string whole = Whole(200, request, "0123456789");
+    return ScriptedReply{{whole.substr(0, whole.size() - 3)}, Then::kClose};
+  });
+  ConfigureAll();
+  EXPECT_EQ(Post("/order/1", "Request-Id: r1", "pay").status(), 502);
+}
+
+// Guards against the answer of an earlier request on a kept connection.
+TEST_F(GatewayCallTest, LateAnswerOfAnotherRequest_IsSkipped) {
+  ServeTool([](const std::string& request) {
+    const std::string other = "Persimmonring-Request-Id: other\r\n";
+    return ScriptedReply{
+        {"HTTP/1.1 200 OK\r\n" + other + "Content-Length: 5\r\n\r\nwrong",
+         Whole(200, request, "right")}};
+  });
+  ConfigureAll();
+  const CallerAnswer answer = Get("/read/1", "Request-Id: r1");
+  EXPECT_TRUE(answer.text.ends_with("\r\n\r\nright"));
+}
+
+// Guards against bytes after an answer that are taken for the next one.
+TEST_F(GatewayCallTest, TrailingBytes_EndTheConnection) {
+  ServeTool([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok") + "HTTP/1.1 200 OK\r\n" +
+                          "Content-Length: 5\r\n\r\nwrong"}};
+  });
+  ConfigureAll();
+  EXPECT_TRUE(Get("/read/1", "Request-Id: r1").text.ends_with("\r\n\r\nok"));
+  EXPECT_TRUE(Get("/read/1", "Request-Id: r2").text.ends_with("\r\n\r\nok"));
+  EXPECT_EQ(upstreams_[0]->connections(), 2);
+}
+
+// Guards against a request held past its time, and against work that goes on
+// for a caller who has left.
+TEST_F(GatewayCallTest, SilentUpstream_IsAnsweredAtTheDeadline) {
+  ServeTool([](const std::string&) {
+    return ScriptedReply{{}, Then::kStall};
+  });
+  ConfigureAll();
+  const int64_t start_ms = SystemClock().NowMs();
+  EXPECT_EQ(
+      Get("/read/1", "Request-Id: r1, Deadline-Ms: 300").status(), 504);
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 800);
+  WaitFor([this] { return upstreams_[0]->abandoned(); });
+}
+
+// Guards against upstreams that go on working for nobody.
+TEST_F(GatewayCallTest, CallerLeaves_UpstreamIsCancelled) {
+  ServeTool([](const std::string&) {
+    return ScriptedReply{{}, Then::kStall};
+  });
+  ConfigureAll();
+  const int fd = Connect();
+  const std::string request =
+      "GET /read/1 HTTP/1.1\r\nHost: h\r\nPersimmonring-Request-Id: r\r\n\r\n";
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  WaitFor([this] { return Requests() == 1; });
+  close(fd);
+  WaitFor([this] { return upstreams_[0]->abandoned(); });
+}
+
+// Guards against a smuggled second request.
+TEST_F(GatewayCallTest, LengthAndChunksTogether_AreRefused) {
+  ServeTool([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  });
+  ConfigureAll();
+  const CallerAnswer answer = Send(
+      "POST /order/1 HTTP/1.1\r\nHost: h\r\nPersimmonring-Request-Id: r1\r\n"
+      "Content-Length: 30\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n\r\nGET /read/1 HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(answer.status(), 400);
+  EXPECT_EQ(Requests(), 0u);
+}
+
+// Guards against a body that lacks a part of the chain, and against a chain
+// that is not kept.
+TEST_F(GatewayCallTest, TurnsOfAChain_SendAllThatPrecedes) {
+  ServeEngine([](const std::string& request) {
+    return Events(request, {"one", "two"});
+  });
+  ConfigureAll();
+  EXPECT_EQ(Post("/turn/1", "Request-Id: t1", "in1 ").status(), 200);
+  EXPECT_EQ(
+      Post("/turn/1", "Request-Id: t2, Previous-Turn: t1", "in2 ").status(),
+      200);
+  const CallerAnswer third =
+      Post("/turn/1", "Request-Id: t3, Previous-Turn: t2", "in3");
+  EXPECT_TRUE(IsWhole(third.text));
+  EXPECT_EQ(BodyOf(upstreams_[0]->requests()[2]),
+            "in1 one\ntwo\nin2 one\ntwo\nin3");
+  EXPECT_EQ(
+      Post("/turn/1", "Request-Id: t4, Previous-Turn: nobody", "x").status(),
+      404);
+  EXPECT_EQ(Requests(), 3u);
+}
+
+// Guards against a broken stream that looks complete or can be continued.
+TEST_F(GatewayCallTest, StreamIsCutOff_CallerSeesNoEnd) {
+  ServeEngine([](const std::string& request) {
+    ScriptedReply reply = Events(request, {"one", "two"});
+    reply.pieces.pop_back();
+    reply.then = Then::kClose;
+    return reply;
+  });
+  ConfigureAll();
+  const CallerAnswer answer = Post("/turn/1", "Request-Id: t1", "in");
+  EXPECT_FALSE(IsWhole(answer.text));
+  EXPECT_EQ(
+      Post("/turn/1", "Request-Id: t2, Previous-Turn: t1", "x").status(), 404);
+}
+
+// Guards against a program that spends more than its budget.
+TEST_F(GatewayCallTest, BudgetIsSpent_TurnIsRefusedAndNotSent) {
+  ServeEngine([](const std::string& request) {
+    return Events(request, {"one", "two"});
+  });
+  ConfigureAll();
+  const std::string program =
+      "Program-Id: p, Token-Budget: 40, Token-Usage: 10,24, Request-Id: ";
+  // Each turn generates 16 of the 24 tokens that it may.
+  EXPECT_EQ(Post("/turn/1", program + "t1", "in").status(), 200);
+  EXPECT_EQ(Post("/turn/1", program + "t2", "in").status(), 200);
+  EXPECT_EQ(Post("/turn/1", program + "t3", "in").status(), 402);
+  EXPECT_EQ(Requests(), 2u);
+}
+
+// Guards against answers of a deployment's own for what no route covers, and
+// against a configuration that does not arrive.
+TEST_F(GatewayCallTest, RouteIsAddedAndRemoved_EntryFollows) {
+  ServeTool([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  });
+  ConfigureAll();
+  EXPECT_EQ(Get("/new/1", "Request-Id: r1").status(), 404);
+  Configure(2, RouteOf("new", "safe", "tool"));
+  WaitFor([this] { return Get("/new/1", "Request-Id: r2").status() == 200; });
+  EXPECT_EQ(Get("/read/1", "Request-Id: r3").status(), 404);
+}
+
+// Guards against a request that is cut off when an entry stops.
+TEST_F(GatewayCallTest, EntryStops_OpenConnectionIsServedAndClosed) {
+  ServeTool([](const std::string& request) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  });
+  ConfigureAll();
+  const int fd = Connect();
+  const std::string request =
+      "GET /read/1 HTTP/1.1\r\nHost: h\r\nPersimmonring-Request-Id: r\r\n\r\n";
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  entry_loop_.Post([this] { gateway_->Drain([] {}); });
+  const CallerAnswer answer = ReadAnswer(fd);
+  EXPECT_EQ(answer.status(), 200);
+  EXPECT_NE(answer.text.find("Connection: close"), std::string::npos);
+  char byte = 0;
+  EXPECT_EQ(recv(fd, &byte, 1, 0), 0);
+  close(fd);
+}
+
+}  // namespace
+}  // namespace ring
--- /dev/null
+++ b/tests/gateway_fixture.h
@@ -0,0 +1,308 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+
+#include "fakes/fake_disk.h"
+#include "fakes/free_port.h"
+#include "fakes/scripted_upstream.h"
+#include "persimmonring/registrar.h"
+#include "platform/platform_protocol.h"
+
+namespace ring {
+
+/// Blocking HTTP caller that sees how a connection ends.
+struct CallerAnswer {
+  std::string text;    ///< All bytes received.
+  bool reset = false;  ///< The connection was reset.
+
+  int status() const {
+    constexpr size_t kStatusAt = 9;
+    return text.size() > kStatusAt ? std::atoi(text.c_str() + kStatusAt) : 0;
+  }
+};
+
+/// A ring of one keeper and one entry in this process, with scripted upstreams.
+class GatewayTest : public testing::Test {
+ protected:
+  static constexpr int64_t kPatienceMs = 5'000;
+
+  GatewayTest()
+      : wire_{"127.0.0.1", fakes::FreePort()},
+        listen_{"127.0.0.1", fakes::FreePort()},
+        ready_{"127.0.0.1", fakes::FreePort()} {
+    StartKeeper();
+    StartEntry();
+  }
+
+  ~GatewayTest() override {
+    entry_threads_->Stop();
+    keeper_threads_->Stop();
+  }
+
+  /// Announces an upstream and waits until the entry may use it.
+  void Announce(const std::string& instance,
+                const std::string& service,
+                const Endpoint& address) {
+    UpstreamInstance upstream;
+    upstream.instance = instance;
+    upstream.service = service;
+    upstream.address = address;
+    upstream.domain = "domain";
+    upstream.slots = 4;
+    upstream.born_ms = 1;
+    upstream.sequence = ++sequence_;
+    std::atomic<bool> done{false};
+    keeper_loop_.Post([&] {
+      registrar_->Announce(upstream, [&done](const Status&) { done = true; });
+    });
+    WaitFor([&done] { return done.load(); });
+  }
+
+  void Configure(uint64_t version, const std::string& routes) {
+    const std::string document =
+        R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+        R"(],"services":[{"name":"engine","engine":{"slots":4,"eventTokens":8}},
+           {"name":"tool"}]})";
+    std::atomic<bool> done{false};
+    WaitFor([&] {
+      keeper_loop_.Post([&] {
+        registrar_->PutConfiguration(
+            version, document,
+            [&done](const Status& status) { done = done || status.ok(); });
+      });
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      return done.load();
+    });
+    WaitFor([&] {
+      return Get("/probe/1", "Deadline-Ms: 500").status() != 503;
+    });
+  }
+
+  static std::string RouteOf(const std::string& prefix,
+                             const std::string& kind,
+                             const std::string& service,
+                             const std::string& more = "") {
+    return R"({"name":")" + prefix + R"(","host":"h","pathPrefix":"/)" +
+           prefix + R"(/","kind":")" + kind +
+           R"(","timeoutMs":2000,"goalMs":300,"maxAttempts":2,"service":")" +
+           service + "\"" + more + "}";
+  }
+
+  CallerAnswer Get(const std::string& target, const std::string& headers = "") {
+    return Send("GET " + target + " HTTP/1.1\r\nHost: h\r\n" +
+                Expand(headers) + "\r\n");
+  }
+  CallerAnswer Post(const std::string& target,
+                    const std::string& headers,
+                    const std::string& body) {
+    return Send("POST " + target + " HTTP/1.1\r\nHost: h\r\n" +
+                Expand(headers) + "Content-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+
+  /// Sends bytes and reads until the answer is whole or the connection ends.
+  CallerAnswer Send(const std::string& bytes) {
+    const int fd = Connect();
+    send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    CallerAnswer answer = ReadAnswer(fd);
+    close(fd);
+    return answer;
+  }
+
+  int Connect() const {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(listen_.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    const timeval patience = {.tv_sec = kPatienceMs / 1'000, .tv_usec = 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    return fd;
+  }
+
+  static CallerAnswer ReadAnswer(int fd) {
+    CallerAnswer answer;
+    char buffer[4'096];
+    while (!IsWhole(answer.text)) {
+      const ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
+      if (got < 0) {
+        answer.reset = errno == ECONNRESET;
+        break;
+      }
+      if (got == 0) {
+        break;
+      }
+      answer.text.append(buffer, static_cast<size_t>(got));
+    }
+    return answer;
+  }
+
+  /// @returns true if the bytes are a complete response
+  static bool IsWhole(const std::string& text) {
+    const size_t head = text.find("\r\n\r\n");
+    if (head == std::string::npos) {
+      return false;
+    }
+    if (text.find("Transfer-Encoding: chunked") < head) {
+      return text.ends_with("\r\n0\r\n\r\n");
+    }
+    constexpr std::string_view kLength = "Content-Length: ";
+    const size_t at = text.find(kLength);
+    return at < head && text.size() - head - 4 >=
+                            std::stoul(text.substr(at + kLength.size()));
+  }
+
+  static void WaitFor(const std::function<bool()>& condition) {
+    const int64_t end_ms = SystemClock().NowMs() + kPatienceMs;
+    while (!condition()) {
+      ASSERT_LT(SystemClock().NowMs(), end_ms) << "waited in vain";
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  static std::string Whole(int status,
+                           const std::string& request,
+                           const std::string& body,
+                           const std::string& headers = "") {
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + IdLine(request) +
+           headers + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+  static std::string StreamHead(const std::string& request) {
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+           IdLine(request) + "Transfer-Encoding: chunked\r\n\r\n";
+  }
+  static std::string Chunk(const std::string& bytes) {
+    char size[16];
+    snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+  }
+  /// @returns the header that names the request, as the request had it
+  static std::string IdLine(const std::string& request) {
+    const size_t at = request.find("Persimmonring-Request-Id:");
+    return at == std::string::npos
+               ? ""
+               : request.substr(at, request.find("\r\n", at) + 2 - at);
+  }
+  static std::string BodyOf(const std::string& request) {
+    return request.substr(request.find("\r\n\r\n") + 4);
+  }
+
+ private:
+  // "A: 1, B: 2" to header lines with the platform's prefix.
+  static std::string Expand(const std::string& headers) {
+    std::string lines;
+    std::string_view rest = headers;
+    while (!rest.empty()) {
+      const std::string_view one = rest.substr(0, rest.find(", "));
+      rest.remove_prefix(std::min(rest.size(), one.size() + 2));
+      lines += "Persimmonring-" + std::string(one) + "\r\n";
+    }
+    return lines;
+  }
+
+  void StartKeeper() {
+    const std::string node = "keeper@" + wire_.ToString();
+    RegistrarInit init;
+    init.node = node;
+    init.vm = "vm";
+    registrar_ = std::make_unique<Registrar>(init, keeper_loop_);
+    KeeperHostInit host;
+    host.ring = "test";
+    host.node = node;
+    host.data_folder = "data";
+    host.initialize = true;
+    host.tick_ms = 10;
+    host.first_election_ticks = 2;
+    host.replicas = {{kStateGroup, 1, {{1, node, true}}}};
+    host.open_disk = [](const std::string&) {
+      return Outcome<std::unique_ptr<DiskI>>(std::make_unique<FakeDisk>(
+          std::make_shared<FakeDisk::Medium>()));
+    };
+    host.create_machine = [this](const std::string&) {
+      return std::make_unique<RingStateMachine>(RingStateMachine::Init{},
+                                                registrar_.get());
+    };
+    host.on_local_reply = [this](const Frame& frame) {
+      registrar_->OnLocalReply(frame);
+    };
+    auto created = KeeperHost::Create(host, SystemClock());
+    ASSERT_TRUE(created.ok());
+    host_ = std::move(*created);
+    auto hub = Hub::Create({.ring = "test",
+                            .node = node,
+                            .domain = "domain",
+                            .region = "region",
+                            .listen = wire_},
+                           *registrar_);
+    ASSERT_TRUE(hub.ok());
+    keeper_hub_ = std::move(*hub);
+    host_->Attach(*keeper_hub_);
+    registrar_->Start(*host_, *keeper_hub_);
+    keeper_threads_ =
+        std::make_unique<Supervisor>(Supervisor::Init{.name = "keeper"});
+    AddLoop(*keeper_threads_, *keeper_hub_, keeper_loop_);
+    host_->AddDuties(*keeper_threads_);
+    keeper_threads_->Start();
+  }
+
+  void StartEntry() {
+    GatewayInit init;
+    init.node = "entry";
+    init.domain = "domain";
+    init.region = "region";
+    init.regions = {{"domain", "region"}};
+    init.listen = listen_;
+    init.ready_listen = ready_;
+    init.keepers = {wire_};
+    gateway_ = std::make_unique<Gateway>(init, protocol_, entry_loop_);
+    auto hub = Hub::Create({.ring = "test",
+                            .node = "entry",
+                            .domain = "domain",
+                            .region = "region"},
+                           *gateway_);
+    ASSERT_TRUE(hub.ok());
+    entry_hub_ = std::move(*hub);
+    ASSERT_TRUE(gateway_->Start(*entry_hub_).ok());
+    entry_threads_ =
+        std::make_unique<Supervisor>(Supervisor::Init{.name = "entry"});
+    AddLoop(*entry_threads_, *entry_hub_, entry_loop_);
+    entry_threads_->Start();
+  }
+
+  static void AddLoop(Supervisor& threads, Hub& hub, EventLoop& loop) {
+    threads.AddDuty(
+        "network", [&hub](const StopToken& stop) { return hub.Run(stop); },
+        [&hub] { hub.Wake(); });
+    threads.AddDuty(
+        "loop", [&loop](const StopToken& stop) { return loop.Run(stop); },
+        [&loop] { loop.Wake(); });
+  }
+
+ protected:
+  const platform::PlatformProtocol protocol_;
+  const Endpoint wire_;
+  const Endpoint listen_;
+  const Endpoint ready_;
+  EventLoop keeper_loop_{SystemClock()};
+  EventLoop entry_loop_{SystemClock()};
+  uint64_t sequence_ = 0;
+  std::unique_ptr<Registrar> registrar_;
+  std::unique_ptr<KeeperHost> host_;
+  std::unique_ptr<Hub> keeper_hub_;
+  std::unique_ptr<Gateway> gateway_;
+  std::unique_ptr<Hub> entry_hub_;
+  std::unique_ptr<Supervisor> keeper_threads_;
+  std::unique_ptr<Supervisor> entry_threads_;
+};
+
+}  // namespace ring
--- /dev/null
+++ b/tests/gateway_placement_test.cc
@@ -0,0 +1,81 @@
+#include <gtest/gtest.h>
+
+#include "persimmonring/gateway.h"
+
+namespace ring {
+namespace {
+
+class PlacementTest : public testing::Test {
+ protected:
+  static PlacementCandidate Near(const std::string& name, int32_t load = 0) {
+    PlacementCandidate candidate;
+    candidate.instance = name;
+    candidate.same_domain = true;
+    candidate.same_region = true;
+    candidate.slots = 16;
+    candidate.in_flight = load;
+    return candidate;
+  }
+  std::string Choose() {
+    const auto chosen = PlaceRequest(input_);
+    return chosen ? input_.candidates[*chosen].instance : "";
+  }
+
+  PlacementInput input_{.engine = true, .prompt_tokens = 1'500};
+};
+
+TEST_F(PlacementTest, NoCandidate_IsSaid) {
+  EXPECT_EQ(PlaceRequest(input_), std::nullopt);
+}
+
+// Guards against prompts that are read again although an engine has them.
+TEST_F(PlacementTest, CachedPrompt_IsWorthAFewRunningRequests) {
+  input_.candidates = {Near("idle"), Near("cached", 8)};
+  input_.candidates[1].cached_tokens = 1'500;
+  EXPECT_EQ(Choose(), "cached");
+}
+
+// Guards against a queue behind a full engine while others are idle.
+TEST_F(PlacementTest, CachedButFull_IdleEngineIsTaken) {
+  input_.candidates = {Near("idle"), Near("cached", 20)};
+  input_.candidates[1].cached_tokens = 1'500;
+  EXPECT_EQ(Choose(), "idle");
+}
+
+// Guards against traffic over the narrow link between regions.
+TEST_F(PlacementTest, OtherRegion_IsTakenOnlyWhenTheOwnIsFull) {
+  input_.candidates = {Near("near", 10), Near("far")};
+  input_.candidates[1].same_domain = false;
+  input_.candidates[1].same_region = false;
+  EXPECT_EQ(Choose(), "near");
+  input_.candidates[0].in_flight = 24;
+  EXPECT_EQ(Choose(), "far");
+}
+
+// Guards against a second try at the upstream that has just failed.
+TEST_F(PlacementTest, TriedOrSuspected_IsTheLastChoice) {
+  input_.candidates = {Near("tried"), Near("suspected"), Near("busy", 16)};
+  input_.candidates[0].tried = true;
+  input_.candidates[1].suspected = true;
+  EXPECT_EQ(Choose(), "busy");
+  input_.candidates.pop_back();
+  EXPECT_EQ(Choose(), "suspected");
+}
+
+// Guards against entries that all choose the same of several equal upstreams.
+TEST_F(PlacementTest, EqualCandidates_AreSpread) {
+  input_.candidates = {Near("a"), Near("b"), Near("c")};
+  std::map<std::string, int> chosen;
+  constexpr int kDraws = 300;
+  for (int i = 0; i < kDraws; ++i) {
+    input_.random = static_cast<uint64_t>(i) * 7919;
+    ++chosen[Choose()];
+  }
+  for (const auto& [name, count] : chosen) {
+    EXPECT_GT(count, kDraws / 6) << name;
+  }
+  EXPECT_EQ(chosen.size(), 3u);
+}
+
+}  // namespace
+}  // namespace ring
--- /dev/null
+++ b/tests/gateway_tables_test.cc
@@ -0,0 +1,157 @@
+#include <gtest/gtest.h>
+
+#include "gateway_chains_p.h"
+#include "gateway_events_p.h"
+#include "persimmonring/gateway.h"
+
+namespace ring {
+namespace {
+
+Route RouteAt(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = host + prefix;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.timeout_ms = 1'000;
+  route.targets = {{"service", 1}};
+  return route;
+}
+
+RouteTable TableOf(std::vector<Route> routes) {
+  return {1, std::move(routes), {{.name = "service"}}, {}};
+}
+
+// Guards against a request that runs at the service of a shorter prefix.
+TEST(RouteTableMatch, SeveralPrefixes_LongestOfTheHostWins) {
+  const RouteTable table = TableOf({RouteAt("a.example", "/"),
+                                    RouteAt("a.example", "/x/"),
+                                    RouteAt("a.example", "/x/y/"),
+                                    RouteAt("b.example", "/z/")});
+  EXPECT_EQ(table.Match("a.example", "/x/y/1")->path_prefix, "/x/y/");
+  EXPECT_EQ(table.Match("A.Example:80", "/x/yy")->path_prefix, "/x/");
+  EXPECT_EQ(table.Match("a.example", "/x")->path_prefix, "/");
+  EXPECT_EQ(table.Match("b.example", "/x/1"), nullptr);
+  EXPECT_EQ(table.Match("c.example", "/"), nullptr);
+  EXPECT_EQ(table.Match("a.example", ""), nullptr);
+}
+
+// Guards against a configuration in force that names nothing to run at.
+TEST(RouteTableCheck, EachMistake_IsRefused) {
+  EXPECT_TRUE(TableOf({RouteAt("a", "/")}).Check().ok());
+  Route unknown = RouteAt("a", "/");
+  unknown.targets = {{"other", 1}};
+  EXPECT_FALSE(TableOf({unknown}).Check().ok());
+  Route weightless = RouteAt("a", "/");
+  weightless.targets = {{"service", 0}};
+  EXPECT_FALSE(TableOf({weightless}).Check().ok());
+  Route endless = RouteAt("a", "/");
+  endless.timeout_ms = 0;
+  EXPECT_FALSE(TableOf({endless}).Check().ok());
+  EXPECT_FALSE(TableOf({RouteAt("a", "/x/"), RouteAt("A", "/x/")}).Check().ok());
+}
+
+class UpstreamTableTest : public testing::Test {
+ protected:
+  static UpstreamTable::Report Heard(const std::string& instance,
+                                     int64_t born_ms,
+                                     uint64_t sequence,
+                                     UpstreamState state,
+                                     uint16_t port = 1) {
+    UpstreamInstance upstream;
+    upstream.instance = instance;
+    upstream.service = "service";
+    upstream.address = {"10.0.0.1", port};
+    upstream.slots = 1;
+    upstream.born_ms = born_ms;
+    upstream.sequence = sequence;
+    upstream.state = state;
+    return {upstream, true};
+  }
+  size_t ready() const { return table_.Ready("service").size(); }
+
+  UpstreamTable table_;
+};
+
+// Guards against a late message that brings a leaving upstream back.
+TEST_F(UpstreamTableTest, DrainingUpstream_NeverReturnsInOneIncarnation) {
+  table_.Merge("k1", false, {Heard("i", 5, 1, UpstreamState::kReady)});
+  table_.Merge("k2", false, {Heard("i", 5, 2, UpstreamState::kDraining)});
+  EXPECT_EQ(ready(), 0u);
+  table_.Merge("k1", false, {Heard("i", 5, 3, UpstreamState::kReady)});
+  EXPECT_EQ(ready(), 0u);
+  table_.Merge("k1", false, {Heard("i", 6, 1, UpstreamState::kReady)});
+  EXPECT_EQ(ready(), 1u);
+}
+
+// Guards against a departure that is known before the upstream itself.
+TEST_F(UpstreamTableTest, DepartureComesFirst_UpstreamIsNotUsed) {
+  table_.Depart({"i", 5, false});
+  table_.Merge("k1", false, {Heard("i", 5, 1, UpstreamState::kReady)});
+  EXPECT_EQ(ready(), 0u);
+}
+
+// Guards against requests for an upstream whose address another one has now.
+TEST_F(UpstreamTableTest, AddressUsedAgain_OlderUpstreamIsGone) {
+  table_.Merge("k1", false, {Heard("old", 5, 9, UpstreamState::kReady)});
+  table_.Merge("k1", false, {Heard("new", 6, 1, UpstreamState::kReady)});
+  ASSERT_EQ(ready(), 1u);
+  EXPECT_EQ(table_.Ready("service")[0]->instance, "new");
+  // A delayed announcement of the dead one changes nothing.
+  table_.Merge("k2", false, {Heard("old", 5, 10, UpstreamState::kReady)});
+  EXPECT_EQ(ready(), 1u);
+}
+
+// Guards against an upstream that one keeper does not hear and that is taken
+// out although another one hears it.
+TEST_F(UpstreamTableTest, HeardByOneKeeper_StaysUntilNoneHearsIt) {
+  auto report = Heard("i", 5, 1, UpstreamState::kReady);
+  table_.Merge("k1", false, {report});
+  table_.Merge("k2", false, {report});
+  report.heard = false;
+  table_.Merge("k1", false, {report});
+  EXPECT_EQ(ready(), 1u);
+  table_.Merge("k2", true, {});
+  EXPECT_EQ(ready(), 0u);
+}
+
+// Guards against chains that lose or gain a byte, and against wrong budgets.
+TEST(EventStreamReader, EventsInPieces_DataIsCollectedAndCounted) {
+  const std::string stream =
+      "id: 1\ndata: one\n\npersimmon: 2\nid: 2\ndata: two\ndata: lines\n\n";
+  for (size_t cut = 1; cut < stream.size(); ++cut) {
+    EventStreamReader reader;
+    reader.Feed(stream.substr(0, cut));
+    reader.Feed(stream.substr(cut));
+    EXPECT_EQ(reader.data(), "one\ntwo\nlines\n");
+    EXPECT_EQ(reader.events(), 2);
+    EXPECT_TRUE(reader.at_boundary());
+  }
+}
+
+// Guards against an event that was cut off and counts as whole.
+TEST(EventStreamReader, UnfinishedEvent_IsNotCounted) {
+  EventStreamReader reader;
+  reader.Feed("id: 1\ndata: one\n\nid: 2\ndata: tw");
+  EXPECT_EQ(reader.events(), 1);
+  EXPECT_FALSE(reader.at_boundary());
+}
+
+// Guards against memory that grows with the number of chains.
+TEST(ChainCache, BeyondItsBytes_OldestUseGoesFirst) {
+  ChainCache cache(10);
+  const auto text = [](size_t size) {
+    return std::make_shared<const std::string>(size, 'x');
+  };
+  cache.Put("a", text(4));
+  cache.Put("b", text(4));
+  EXPECT_NE(cache.Find("a"), nullptr);
+  cache.Put("c", text(4));
+  EXPECT_EQ(cache.Find("b"), nullptr);
+  EXPECT_NE(cache.Find("a"), nullptr);
+  cache.Put("huge", text(11));
+  EXPECT_EQ(cache.Find("huge"), nullptr);
+  EXPECT_LE(cache.bytes(), 10u);
+}
+
+}  // namespace
+}  // namespace ring
--- a/tests/keeper_host_fixture.h
+++ b/tests/keeper_host_fixture.h
@@ -39,6 +39,9 @@
     state_ = snapshot;
     return Done{};
   }
+  std::string ExpireCommand() const override {
+    return program_codec::EncodeExpire();
+  }
 
  private:
   std::string state_;
--- /dev/null
+++ b/tests/keeper_membership_test.cc
@@ -0,0 +1,99 @@
+#include <gtest/gtest.h>
+
+#include "persimmonring/keeper.h"
+
+namespace ring {
+namespace {
+
+using Kind = MembershipChange::Kind;
+
+constexpr int64_t kLostTicks = 60;
+constexpr uint64_t kCommitted = 100;
+
+MemberProgress Row(ReplicaNumber id,
+                   bool voter,
+                   uint64_t match = kCommitted,
+                   int64_t silent = 0) {
+  return {{id, "keeper@10.0.0." + std::to_string(id) + ":7", voter},
+          match,
+          silent};
+}
+
+class MembershipTest : public testing::Test {
+ protected:
+  MembershipTest() {
+    input_.self = 1;
+    input_.commit_index = kCommitted;
+    input_.members = {Row(1, true), Row(2, true), Row(3, true)};
+    input_.max_voters = 3;
+    input_.lost_ticks = kLostTicks;
+  }
+  MembershipChange Plan() const { return PlanMembership(input_); }
+
+  MembershipInput input_;
+};
+
+// Guards against changes of a ring that is well.
+TEST_F(MembershipTest, AllVotersHeard_NothingChanges) {
+  EXPECT_EQ(Plan().kind, Kind::kNone);
+}
+
+// Guards against a vote of a replica that has forgotten its votes.
+TEST_F(MembershipTest, NodeReturnsUnderNewId_OldReplicaIsRemovedFirst) {
+  input_.joins = {{9, "keeper@10.0.0.3:7"}};
+  EXPECT_EQ(Plan().kind, Kind::kRemove);
+  EXPECT_EQ(Plan().id, 3u);
+  input_.members.pop_back();
+  EXPECT_EQ(Plan().kind, Kind::kAdd);
+  EXPECT_EQ(Plan().id, 9u);
+}
+
+// Guards against a quorum that loses a voter before its successor has the data.
+TEST_F(MembershipTest, SilentVoter_IsRemovedOnlyOnceALearnerKeepsUp) {
+  input_.members[2] = Row(3, true, kCommitted, kLostTicks + 1);
+  EXPECT_EQ(Plan().kind, Kind::kNone);
+  input_.members.push_back(Row(4, false, kCommitted - 1));
+  EXPECT_EQ(Plan().kind, Kind::kNone);
+  input_.members.back() = Row(4, false, kCommitted);
+  EXPECT_EQ(Plan().kind, Kind::kRemove);
+  EXPECT_EQ(Plan().id, 3u);
+}
+
+// Guards against a voter that is replaced because it restarts.
+TEST_F(MembershipTest, VoterSilentForAMoment_Stays) {
+  input_.members[2] = Row(3, true, kCommitted, kLostTicks);
+  input_.members.push_back(Row(4, false));
+  EXPECT_EQ(Plan().kind, Kind::kNone);
+}
+
+// Guards against a retired VM that keeps its vote or comes back.
+TEST_F(MembershipTest, RetiredVoter_IsReplacedAndNotAddedAgain) {
+  input_.retired = {"10.0.0.2:7"};
+  EXPECT_EQ(Plan().kind, Kind::kNone);
+  input_.members.push_back(Row(4, false));
+  EXPECT_EQ(Plan().kind, Kind::kRemove);
+  EXPECT_EQ(Plan().id, 2u);
+  std::erase_if(input_.members,
+                [](const auto& row) { return row.member.id == 2; });
+  input_.joins = {{2, "keeper@10.0.0.2:7"}};
+  EXPECT_EQ(Plan().kind, Kind::kNone);
+}
+
+// Guards against a lost learner that blocks others, and against a second loss
+// of a learner that is taken for a successor.
+TEST_F(MembershipTest, LostLearner_IsRemoved) {
+  input_.members[2] = Row(3, true, kCommitted, kLostTicks + 1);
+  input_.members.push_back(Row(4, false, kCommitted, kLostTicks + 1));
+  EXPECT_EQ(Plan().kind, Kind::kRemove);
+  EXPECT_EQ(Plan().id, 4u);
+}
+
+// Guards against a leader that counts itself as silent.
+TEST_F(MembershipTest, LeaderItself_IsNeverLost) {
+  input_.members[0] = Row(1, true, kCommitted, kLostTicks + 1);
+  input_.members.push_back(Row(4, false));
+  EXPECT_EQ(Plan().kind, Kind::kNone);
+}
+
+}  // namespace
+}  // namespace ring
--- /dev/null
+++ b/tests/platform_protocol_test.cc
@@ -0,0 +1,181 @@
+#include <gtest/gtest.h>
+
+#include "platform/platform_control.h"
+#include "platform/platform_protocol.h"
+
+namespace ring::platform {
+namespace {
+
+constexpr char kDocument[] = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "h.example", "pathPrefix": "/a/", "kind": "stream",
+     "timeoutMs": 4000, "goalMs": 250, "priority": 1, "service": "s1",
+     "maxAttempts": 2, "retainContext": true, "retentionS": 60.0,
+     "sticky": true, "gapAimMs": 200},
+    {"name": "r2", "host": "h.example", "pathPrefix": "/b/", "kind": "safe",
+     "timeoutMs": 1200, "split": [{"service": "s1", "weight": 90},
+                                  {"service": "s2", "weight": 10}]}],
+  "services": [
+    {"name": "s1", "healthPath": "/health", "maxConns": 150,
+     "engine": {"slots": 12, "kvCapacityTokens": 135481, "eventTokens": 8}},
+    {"name": "s2"}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})";
+
+class PlatformConfiguration : public testing::Test {
+ protected:
+  static std::string Replaced(const std::string& from, const std::string& to) {
+    std::string text = kDocument;
+    const size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos);
+    return text.replace(at, from.size(), to);
+  }
+  const PlatformProtocol protocol_;
+};
+
+TEST_F(PlatformConfiguration, WholeDocument_IsDecoded) {
+  const auto table = protocol_.ParseConfiguration(kDocument);
+  ASSERT_TRUE(table.ok());
+  EXPECT_EQ((*table)->version(), 7u);
+  const Route* turns = (*table)->Match("h.example", "/a/1");
+  ASSERT_NE(turns, nullptr);
+  EXPECT_EQ(turns->kind, RepeatKind::kStream);
+  EXPECT_TRUE(turns->keeps_turns);
+  EXPECT_EQ(turns->retention_ms, 60'000);
+  EXPECT_EQ((*table)->FindService("s1")->engine->tokens_per_event, 8);
+  const Route* split = (*table)->Match("h.example", "/b/1");
+  EXPECT_EQ(split->targets,
+            (std::vector<RouteTarget>{{"s1", 90}, {"s2", 10}}));
+  EXPECT_EQ((*table)->limits().header_timeout_ms, 3'000);
+}
+
+// Guards against an invalid configuration that is acknowledged.
+TEST_F(PlatformConfiguration, EachInvalidKind_IsRefused) {
+  const std::string whole = kDocument;
+  const std::string bad[] = {
+      "",
+      "[]",
+      whole.substr(0, whole.size() / 2),
+      Replaced(R"("service": "s1")", R"("service": "nobody")"),
+      Replaced("/b/", "/a/"),
+      Replaced(R"("weight": 90},
+                                  {"service": "s2", "weight": 10})",
+               R"("weight": 0})"),
+      Replaced(R"("timeoutMs": 1200)", R"("timeoutMs": 0)"),
+      Replaced(R"("version": 7)", R"("version": "7")"),
+  };
+  for (const std::string& document : bad) {
+    EXPECT_EQ(protocol_.ParseConfiguration(document).refusal().reason,
+              Reason::kBadRequest)
+        << document;
+  }
+}
+
+// Guards against a field of a later version that makes a document unreadable.
+TEST_F(PlatformConfiguration, UnknownFields_AreIgnored) {
+  EXPECT_TRUE(protocol_
+                  .ParseConfiguration(
+                      Replaced(R"("version": 7)", R"("version": 7, "new": [])"))
+                  .ok());
+}
+
+HttpHead HeadOf(std::vector<HttpHeader> headers) {
+  HttpHead head;
+  head.method = "POST";
+  head.target = "/a/1?q=2";
+  head.headers = std::move(headers);
+  return head;
+}
+
+TEST(PlatformRequest, AllHeaders_AreDecoded) {
+  const PlatformProtocol protocol;
+  const CallerRequest request = protocol.DecodeRequest(HeadOf(
+      {{"host", "h.example"},
+       {"Persimmonring-Request-Id", "id"},
+       {"Persimmonring-Deadline-Ms", "4000"},
+       {"Persimmonring-Program-Id", "p"},
+       {"Persimmonring-Token-Budget", "2304"},
+       {"Persimmonring-Token-Usage", "1840,288"},
+       {"Persimmonring-Previous-Turn", "before"},
+       {"Persimmonring-Prompt-Prefix", "5c:800,91:410,bad"},
+       {"Cookie", "a=b; Persimmonring-Affinity-Key=17"}}));
+  EXPECT_EQ(request.path, "/a/1");
+  EXPECT_EQ(request.wait_ms, 4'000);
+  EXPECT_EQ(request.budget_tokens, 2'304);
+  EXPECT_EQ(request.prompt_tokens, 1'840);
+  EXPECT_EQ(request.max_output_tokens, 288);
+  EXPECT_EQ(request.previous_turn, "before");
+  EXPECT_EQ(request.prompt, (std::vector<PromptPart>{{"5c", 800}, {"91", 410}}));
+  EXPECT_EQ(request.affinity, "17");
+}
+
+// Guards against headers that only this system may set, and against framing
+// headers of the caller that do not fit the body which is sent.
+TEST(PlatformSend, CallersSystemHeaders_AreDropped) {
+  const PlatformProtocol protocol;
+  const HttpHead head = HeadOf({{"Host", "h.example"},
+                                {"Persimmonring-Hold", "x"},
+                                {"persimmonring-pin-ms", "1"},
+                                {"Persimmonring-Kv-Backup", "x"},
+                                {"Kv-From", "x"},
+                                {"Persimmonring-Deadline-Ms", "9"},
+                                {"Transfer-Encoding", "chunked"},
+                                {"X-Own", "kept"}});
+  const std::string sent =
+      protocol.EncodeSend(head, protocol.DecodeRequest(head), {"i-1", 5, 3});
+  EXPECT_EQ(sent,
+            "POST /a/1?q=2 HTTP/1.1\r\nHost: h.example\r\nX-Own: kept\r\n"
+            "Persimmonring-Deadline-Ms: 5\r\n"
+            "Persimmonring-Expect-Instance: i-1\r\nContent-Length: 3\r\n\r\n");
+}
+
+// Guards against "not run" taken from an answer that does not say so.
+TEST(PlatformAnswer, OnlyExplicitAnswers_SayNotRun) {
+  const PlatformProtocol protocol;
+  HttpHead head;
+  head.status = 503;
+  EXPECT_FALSE(protocol.DecodeAnswer(head).not_run);
+  head.headers = {{"persimmonring-not-executed", "1"}};
+  EXPECT_TRUE(protocol.DecodeAnswer(head).not_run);
+  head.headers.clear();
+  head.status = 421;
+  EXPECT_TRUE(protocol.DecodeAnswer(head).not_run);
+  EXPECT_TRUE(protocol.DecodeAnswer(head).other_instance);
+}
+
+constexpr char kHeartbeat[] =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
+        "slots":12,"state":"ready","coldLeftMs":0,"callSeq":4,"born":99})";
+
+TEST(PlatformHeartbeat, WholeBody_IsDecoded) {
+  const auto upstream = DecodeHeartbeat("i-1", kHeartbeat);
+  ASSERT_TRUE(upstream.ok());
+  EXPECT_EQ(upstream->address.ToString(), "10.0.0.9:80");
+  EXPECT_EQ(upstream->sequence, 4u);
+  EXPECT_EQ(upstream->born_ms, 99);
+}
+
+// Guards against a malformed announcement that names an upstream to use.
+TEST(PlatformHeartbeat, MissingOrMistypedFields_AreRefused) {
+  const std::pair<const char*, const char*> cases[] = {
+      {R"("service":"s",)", ""},
+      {R"("service":"s")", R"("service":5)"},
+      {R"(10.0.0.9:80)", "nowhere"},
+      {R"("slots":12)", R"("slots":"12")"},
+      {R"("slots":12)", R"("slots":0)"},
+      {R"("state":"ready")", R"("state":"asleep")"},
+      {R"("callSeq":4)", R"("callSeq":null)"},
+      {kHeartbeat, "\x01\x02"},
+  };
+  for (const auto& [from, to] : cases) {
+    std::string body = kHeartbeat;
+    body.replace(body.find(from), std::string(from).size(), to);
+    EXPECT_EQ(DecodeHeartbeat("i-1", body).refusal().reason,
+              Reason::kBadRequest)
+        << body;
+  }
+}
+
+}  // namespace
+}  // namespace ring::platform
--- /dev/null
+++ b/tests/state_machine_test.cc
@@ -0,0 +1,246 @@
+#include <gtest/gtest.h>
+
+#include "persimmonring/state.h"
+
+namespace ring {
+namespace {
+
+constexpr int64_t kRetentionMs = 60'000;
+
+fb::BeginTurnT BeginOf(const std::string& turn,
+                       const std::string& previous,
+                       int64_t budget,
+                       int64_t most) {
+  fb::BeginTurnT begin;
+  begin.turn = turn;
+  begin.program = "program";
+  begin.previous = previous;
+  begin.budget_tokens = budget;
+  begin.max_tokens = most;
+  return begin;
+}
+
+fb::FinishTurnT FinishOf(const std::string& turn,
+                         const std::string& previous,
+                         int64_t tokens,
+                         bool complete) {
+  fb::FinishTurnT finish;
+  finish.turn = turn;
+  finish.program = "program";
+  finish.previous = previous;
+  finish.tokens = tokens;
+  finish.complete = complete;
+  finish.input = "in-" + turn;
+  finish.output = "out-" + turn;
+  finish.retention_ms = kRetentionMs;
+  finish.upstream = "engine-" + turn;
+  return finish;
+}
+
+class RingStateTest : public testing::Test {
+ protected:
+  fb::StateResultT Apply(const std::string& command) {
+    auto result = state_codec::DecodeResult(
+        machine_.Apply(++index_, now_ms_, command));
+    EXPECT_TRUE(result.ok());
+    return *result;
+  }
+  fb::StateCode Begin(const std::string& turn,
+                      const std::string& previous,
+                      int64_t budget = 1'000,
+                      int64_t most = 100) {
+    last_ = Apply(
+        state_codec::EncodeBegin(BeginOf(turn, previous, budget, most)));
+    return last_.code;
+  }
+  void Finish(const std::string& turn,
+              const std::string& previous,
+              int64_t tokens = 10,
+              bool complete = true) {
+    Apply(state_codec::EncodeFinish(
+        FinishOf(turn, previous, tokens, complete)));
+  }
+  void KeepChain() {
+    Begin("a", "");
+    Finish("a", "");
+    Begin("b", "a");
+    Finish("b", "a");
+  }
+  std::string ChainText() const {
+    std::string text;
+    for (const auto& part : last_.chain) {
+      text += part->input + part->output;
+    }
+    return text;
+  }
+
+  RingStateMachine machine_{RingStateMachine::Init{}, nullptr};
+  uint64_t index_ = 0;
+  int64_t now_ms_ = 1'000;
+  fb::StateResultT last_;
+};
+
+// Guards against a body that lacks a part of the chain or has it in another
+// order.
+TEST_F(RingStateTest, BeginAfterTwoTurns_ReturnsTheChainOldestFirst) {
+  KeepChain();
+  EXPECT_EQ(Begin("c", "b"), fb::StateCode::Done);
+  EXPECT_EQ(ChainText(), "in-aout-ain-bout-b");
+  EXPECT_EQ(last_.last_upstream, "engine-b");
+}
+
+// Guards against sending texts that the entry holds already.
+TEST_F(RingStateTest, BeginWithKnownTurn_ReturnsOnlyWhatFollowsIt) {
+  KeepChain();
+  fb::BeginTurnT begin = BeginOf("c", "b", 1'000, 100);
+  begin.known = "a";
+  last_ = Apply(state_codec::EncodeBegin(begin));
+  EXPECT_EQ(ChainText(), "in-bout-b");
+}
+
+// Guards against a false 404, and against a turn that was never answered whole.
+TEST_F(RingStateTest, UnknownAndUnfinishedTurns_AreNotContinued) {
+  EXPECT_EQ(Begin("x", "nobody"), fb::StateCode::UnknownTurn);
+  Begin("a", "");
+  Finish("a", "", 10, false);
+  EXPECT_EQ(Begin("b", "a"), fb::StateCode::UnknownTurn);
+}
+
+// Guards against an expired ancestor of a chain that is still in use.
+TEST_F(RingStateTest, OldTurns_LastAsLongAsTheirNewestDescendant) {
+  KeepChain();
+  now_ms_ += kRetentionMs;
+  Begin("c", "b");
+  Finish("c", "b");
+  now_ms_ += kRetentionMs;
+  Apply(state_codec::EncodeExpire());
+  EXPECT_EQ(Begin("d", "a"), fb::StateCode::Done);
+  now_ms_ += 2 * kRetentionMs;
+  Apply(state_codec::EncodeExpire());
+  EXPECT_EQ(Begin("e", "c"), fb::StateCode::UnknownTurn);
+}
+
+// Guards against a leader's clock that is set forward by some seconds.
+TEST_F(RingStateTest, ClockStepsForward_TurnIsStillKept) {
+  KeepChain();
+  constexpr int64_t kStepMs = 5'000;
+  now_ms_ += kRetentionMs - 1 + kStepMs;
+  Apply(state_codec::EncodeExpire());
+  EXPECT_EQ(Begin("c", "b"), fb::StateCode::Done);
+}
+
+// Guards against two entries that together spend more than the budget.
+TEST_F(RingStateTest, OpenTurns_ReserveTheMostThatTheyMayGenerate) {
+  EXPECT_EQ(Begin("a", "", 250), fb::StateCode::Done);
+  EXPECT_EQ(Begin("b", "", 250), fb::StateCode::Done);
+  EXPECT_EQ(Begin("c", "", 250), fb::StateCode::BudgetSpent);
+  Finish("a", "", 10);
+  EXPECT_EQ(Begin("c", "", 250), fb::StateCode::Done);
+}
+
+// Guards against a budget that is returned when a turn was broken off after it
+// had generated tokens.
+TEST_F(RingStateTest, BrokenOffTurn_SpendsWhatItHandedOut) {
+  Begin("a", "", 250);
+  Finish("a", "", 90, false);
+  EXPECT_EQ(Begin("b", "", 250), fb::StateCode::Done);
+  EXPECT_EQ(Begin("c", "", 250), fb::StateCode::BudgetSpent);
+}
+
+// Guards against a repeated command that reserves or spends twice.
+TEST_F(RingStateTest, RepeatedCommands_ChangeNothing) {
+  Begin("a", "", 250);
+  EXPECT_EQ(Begin("a", "", 250), fb::StateCode::Done);
+  EXPECT_EQ(Begin("b", "", 250), fb::StateCode::Done);
+  Finish("a", "", 50);
+  Finish("a", "", 50);
+  EXPECT_EQ(Begin("c", "", 250), fb::StateCode::Done);
+}
+
+// Guards against a configuration that goes back or changes under its number.
+TEST_F(RingStateTest, LowerAndEqualVersions_ChangeNothing) {
+  EXPECT_EQ(Apply(state_codec::EncodePutConfiguration(5, "five")).code,
+            fb::StateCode::Done);
+  EXPECT_EQ(Apply(state_codec::EncodePutConfiguration(5, "other")).code,
+            fb::StateCode::Outdated);
+  EXPECT_EQ(Apply(state_codec::EncodePutConfiguration(4, "four")).code,
+            fb::StateCode::Outdated);
+  const auto read =
+      state_codec::DecodeResult(machine_.Query(state_codec::EncodeQuery(true)));
+  EXPECT_EQ(read->version, 5u);
+  EXPECT_EQ(read->document, "five");
+}
+
+// Guards against state that a snapshot leaves out.
+TEST_F(RingStateTest, SavedAndLoaded_AnswersAsBefore) {
+  KeepChain();
+  Begin("open", "", 250);
+  Apply(state_codec::EncodePutConfiguration(3, "three"));
+  Apply(state_codec::EncodeRetire("vm@10.0.0.1:1"));
+  RingStateMachine copy{RingStateMachine::Init{}, nullptr};
+  ASSERT_TRUE(copy.Load(machine_.Save()).ok());
+  const auto begun = state_codec::DecodeResult(copy.Apply(
+      1, now_ms_, state_codec::EncodeBegin(BeginOf("c", "b", 250, 100))));
+  EXPECT_EQ(begun->code, fb::StateCode::Done);
+  EXPECT_EQ(begun->chain.size(), 2u);
+  const auto over = state_codec::DecodeResult(copy.Apply(
+      2, now_ms_, state_codec::EncodeBegin(BeginOf("d", "b", 250, 100))));
+  EXPECT_EQ(over->code, fb::StateCode::BudgetSpent);
+  const auto read =
+      state_codec::DecodeResult(copy.Query(state_codec::EncodeQuery(true)));
+  EXPECT_EQ(read->document, "three");
+  EXPECT_EQ(read->retired, std::vector<std::string>{"vm@10.0.0.1:1"});
+  EXPECT_EQ(copy.Load("damaged").refusal().reason, Reason::kCorruptData);
+}
+
+// Guards against a crash by bytes that are no command.
+TEST_F(RingStateTest, DamagedCommand_IsRefused) {
+  const auto result =
+      state_codec::DecodeResult(machine_.Apply(1, now_ms_, "damaged"));
+  EXPECT_EQ(result->code, fb::StateCode::BadCommand);
+}
+
+class Recorder final : public StateObserverI {
+ public:
+  void OnConfiguration(uint64_t version,
+                       std::shared_ptr<const std::string> /*text*/) override {
+    versions.push_back(version);
+  }
+  void OnUpstream(const fb::RegisterUpstreamT& upstream) override {
+    upstreams.push_back(upstream.instance);
+  }
+  void OnDeparture(const UpstreamDeparture& departure) override {
+    departures.push_back(departure);
+  }
+  void OnRetire(const std::set<std::string>& /*nodes*/) override {}
+
+  std::vector<uint64_t> versions;
+  std::vector<std::string> upstreams;
+  std::vector<UpstreamDeparture> departures;
+};
+
+// Guards against entries that are not told, or told again and again.
+TEST(RingStateObserver, Changes_AreReportedOnce) {
+  Recorder recorder;
+  RingStateMachine machine({}, &recorder);
+  fb::RegisterUpstreamT upstream;
+  upstream.instance = "i-1";
+  upstream.born_ms = 7;
+  machine.Apply(1, 1, state_codec::EncodeRegister(upstream));
+  machine.Apply(2, 1, state_codec::EncodeDeparture({"i-1", 7, false}));
+  machine.Apply(3, 1, state_codec::EncodeDeparture({"i-1", 7, false}));
+  machine.Apply(4, 1, state_codec::EncodeDeparture({"i-1", 7, true}));
+  EXPECT_EQ(recorder.upstreams, std::vector<std::string>{"i-1"});
+  EXPECT_EQ(recorder.departures,
+            (std::vector<UpstreamDeparture>{{"i-1", 7, false},
+                                            {"i-1", 7, true}}));
+  // What is gone is not offered again after a restart.
+  Recorder after;
+  RingStateMachine copy({}, &after);
+  ASSERT_TRUE(copy.Load(machine.Save()).ok());
+  EXPECT_TRUE(after.upstreams.empty());
+  EXPECT_EQ(after.departures.size(), 1u);
+}
+
+}  // namespace
+}  // namespace ring
