Let a successor vote before a voter is removed

Ruled out: slow catch-up (the learner was level). Change: promote, then remove; a retire order is read from the leader.

--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -104,7 +104,7 @@
 };
 
 struct MembershipChange {
-  enum class Kind : uint8_t { kNone, kAdd, kRemove };
+  enum class Kind : uint8_t { kNone, kAdd, kPromote, kRemove };
   Kind kind = Kind::kNone;
   ReplicaNumber id = 0;
   std::string node;
@@ -118,8 +118,8 @@
 std::string AddressOfKeeper(const std::string& node);
 
 /// Chooses the next change of members, one at a time. A voter is removed only
-/// if its disk is known to be lost or a learner that has caught up takes its
-/// place.
+/// if its disk is known to be lost or its successor votes already, so that a
+/// further loss in between does not take the majority.
 MembershipChange PlanMembership(const MembershipInput& input);
 
 /// Runs the replicas of one process: a thread for each group. Raft and keeper
--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -328,8 +328,9 @@
     size_t max_append_bytes = 1u << 20;    ///< Entries of one message.
     size_t max_snapshot_chunk = 1u << 20;  ///< At most 1 MiB.
     size_t max_inflight_appends = 64;      ///< Unanswered, for each member.
-    /// Learners stay learners while the group has this many voters.
-    size_t max_voters = SIZE_MAX;
+    /// Learners that have caught up become voters by themselves; else only by
+    /// PromoteMember.
+    bool promote_learners = true;
     /// Reads the saved snapshot for a member that is too far behind.
     std::function<std::shared_ptr<const Snapshot>()> load_snapshot;
   };
@@ -356,6 +357,9 @@
   Outcome<Proposed> AddMember(ReplicaNumber id,
                               const std::string& node,
                               int64_t now_ms);
+  /// Makes a learner a voter. The caller has checked that it has caught up.
+  /// @returns as AddMember; not_allowed if it is no learner
+  Outcome<Proposed> PromoteMember(ReplicaNumber id, int64_t now_ms);
   /// @returns as AddMember; not_allowed for the last voter; not_leader for the
   ///          leader itself, which then hands over leadership
   Outcome<Proposed> RemoveMember(ReplicaNumber id, int64_t now_ms);
--- a/include/persimmonring/registrar.h
+++ b/include/persimmonring/registrar.h
@@ -38,6 +38,7 @@
 class Registrar final : public HubListenerI, public StateObserverI {
  public:
   using Answer = std::function<void(const Status&)>;
+  using RetireAnswer = std::function<void(const Outcome<RetireState>&)>;
   using DocumentAnswer = std::function<void(const Outcome<std::string>&)>;
 
   Registrar(const RegistrarInit& init, EventLoop& loop);
@@ -63,8 +64,8 @@
   /// @returns not_allowed if too few keepers would be left, unknown_path for
   ///          an unknown VM
   void Retire(const std::string& vm, const Answer& answer);
-  void ReadRetire(const std::string& vm,
-                  const std::function<void(RetireState)>& answer);
+  /// @returns the state as a majority knows it
+  void ReadRetire(const std::string& vm, const RetireAnswer& answer);
   /// Further keepers, after the settings have changed.
   void AddKeepers(const std::vector<Endpoint>& keepers);
 
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -57,7 +57,7 @@
   replica.heartbeat_ticks = init_.heartbeat_ticks;
   replica.election_ticks = init_.election_ticks;
   replica.seed = init_.seed;
-  replica.max_voters = init_.max_voters;
+  replica.promote_learners = !init_.automatic_members;
   replica.first_election_ticks = init_.first_election_ticks;
   replica.max_append_bytes = init_.max_append_bytes;
   replica.max_snapshot_chunk = init_.max_append_bytes;
--- a/src/keeper_group_members.cc
+++ b/src/keeper_group_members.cc
@@ -78,13 +78,21 @@
   if (change.kind == MembershipChange::Kind::kNone) {
     return;
   }
-  const bool add = change.kind == MembershipChange::Kind::kAdd;
-  const auto proposed =
-      add ? replica_->AddMember(change.id, change.node, clock_.WallMs())
-          : replica_->RemoveMember(change.id, clock_.WallMs());
+  const int64_t wall_ms = clock_.WallMs();
+  const char* action = "remove";
+  Outcome<Proposed> proposed = Proposed{};
+  if (change.kind == MembershipChange::Kind::kAdd) {
+    action = "add";
+    proposed = replica_->AddMember(change.id, change.node, wall_ms);
+  } else if (change.kind == MembershipChange::Kind::kPromote) {
+    action = "promote";
+    proposed = replica_->PromoteMember(change.id, wall_ms);
+  } else {
+    proposed = replica_->RemoveMember(change.id, wall_ms);
+  }
   Event(LogLevel::kInfo, "member_change")
       .Add("group", name())
-      .Add("action", add ? "add" : "remove")
+      .Add("action", action)
       .Add("replica", change.id)
       .Add("member", change.node)
       .Add("cause", change.why)
--- a/src/keeper_membership.cc
+++ b/src/keeper_membership.cc
@@ -27,13 +27,39 @@
   return input.retired.contains(AddressOfKeeper(row.member.node));
 }
 
-// A learner that could vote as soon as there is a free place.
-bool HasSuccessor(const MembershipInput& input) {
-  return std::any_of(
+// A learner that keeps up, and so could vote.
+const MemberProgress* FindSuccessor(const MembershipInput& input) {
+  const auto found = std::find_if(
       input.members.begin(), input.members.end(), [&](const auto& row) {
         return !row.member.voter && !IsLost(input, row) &&
                !IsRetired(input, row) && row.match_index >= input.commit_index;
       });
+  return found == input.members.end() ? nullptr : &*found;
+}
+
+// The voter that should go, one that is to be emptied before one that is lost
+// and may return.
+const MemberProgress* FindLeaving(const MembershipInput& input) {
+  const MemberProgress* lost = nullptr;
+  for (const MemberProgress& row : input.members) {
+    if (row.member.voter && IsRetired(input, row)) {
+      return &row;
+    }
+    if (row.member.voter && IsLost(input, row)) {
+      lost = &row;
+    }
+  }
+  return lost;
+}
+
+// The group with one more voter has a majority of voters that are heard.
+bool MayGrow(const MembershipInput& input) {
+  const auto heard = static_cast<size_t>(std::count_if(
+      input.members.begin(), input.members.end(), [&](const auto& row) {
+        return row.member.voter && !IsLost(input, row);
+      }));
+  const size_t grown = VoterCount(input) + 1;
+  return heard + 1 >= grown / 2 + 1;
 }
 
 }  // namespace
@@ -65,18 +91,18 @@
       return Add(join, "a keeper asked for a place");
     }
   }
-  if (VoterCount(input) < input.max_voters || !HasSuccessor(input)) {
-    return {};
+  const MemberProgress* const leaving = FindLeaving(input);
+  const size_t voters = VoterCount(input);
+  if (voters > input.max_voters && leaving != nullptr) {
+    return Remove(leaving->member, "its successor votes");
   }
-  for (const MemberProgress& row : input.members) {
-    if (row.member.voter && IsRetired(input, row)) {
-      return Remove(row.member, "the VM is to be emptied");
-    }
-  }
-  for (const MemberProgress& row : input.members) {
-    if (row.member.voter && IsLost(input, row)) {
-      return Remove(row.member, "the voter is silent and a learner caught up");
-    }
+  const MemberProgress* const successor = FindSuccessor(input);
+  const bool wanted =
+      voters < input.max_voters ||
+      (voters == input.max_voters && leaving != nullptr);
+  if (wanted && successor != nullptr && MayGrow(input)) {
+    return {MembershipChange::Kind::kPromote, successor->member.id,
+            successor->member.node, "the learner keeps up"};
   }
   return {};
 }
--- a/src/log_replica.cc
+++ b/src/log_replica.cc
@@ -173,6 +173,10 @@
   return impl_->AddMember(id, node, now_ms);
 }
 
+Outcome<Proposed> Replica::PromoteMember(ReplicaNumber id, int64_t now_ms) {
+  return impl_->PromoteMember(id, now_ms);
+}
+
 Outcome<Proposed> Replica::RemoveMember(ReplicaNumber id, int64_t now_ms) {
   return impl_->RemoveMember(id, now_ms);
 }
--- a/src/log_replica_members.cc
+++ b/src/log_replica_members.cc
@@ -71,6 +71,23 @@
   return ProposeConfig(config, now_ms);
 }
 
+Outcome<Proposed> Replica::Impl::PromoteMember(ReplicaNumber id,
+                                               int64_t now_ms) {
+  if (Status status = CheckChange(); !status) {
+    return status.refusal();
+  }
+  const Member* member = log_.config().Find(id);
+  if (member == nullptr || member->voter) {
+    return Refusal{Reason::kNotAllowed, RunState::kNotRun,
+                   "the replica is no learner"};
+  }
+  LogConfig config = log_.config();
+  for (Member& changed : config.members) {
+    changed.voter = changed.voter || changed.id == id;
+  }
+  return ProposeConfig(config, now_ms);
+}
+
 void Replica::Impl::SyncProgress() {
   const LogConfig& config = log_.config();
   std::erase_if(progress_, [&](const auto& item) {
@@ -91,7 +108,7 @@
 // counts synced entries only, so a repair never replaces a durable copy by one
 // that is still missing entries.
 void Replica::Impl::PromoteLearners(int64_t now_ms) {
-  if (!CheckChange() || log_.config().voter_count() >= init_.max_voters) {
+  if (!init_.promote_learners || !CheckChange()) {
     return;
   }
   for (const Member& member : log_.config().members) {
--- a/src/log_replica_p.h
+++ b/src/log_replica_p.h
@@ -47,6 +47,7 @@
   Outcome<Proposed> AddMember(ReplicaNumber id,
                               const std::string& node,
                               int64_t now_ms);
+  Outcome<Proposed> PromoteMember(ReplicaNumber id, int64_t now_ms);
   Outcome<Proposed> RemoveMember(ReplicaNumber id, int64_t now_ms);
   Status TransferLeader(ReplicaNumber target);
   bool HasReady() const;
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -86,6 +86,12 @@
   EventLoop& loop() { return loop_; }
   KeeperHost* host() { return host_; }
   const LogConfig& members() const { return members_; }
+  bool IsMember(const std::string& address) const {
+    return std::any_of(members_.members.begin(), members_.members.end(),
+                       [&](const Member& row) {
+                         return AddressOfKeeper(row.node) == address;
+                       });
+  }
   /// @returns "<vm>@<address>" of a keeper's VM, or an empty text
   std::string FindVm(const std::string& vm) const;
 
@@ -574,26 +580,22 @@
                          });
 }
 
-void Registrar::ReadRetire(const std::string& vm,
-                           const std::function<void(RetireState)>& answer) {
-  std::string address;
-  {
-    std::lock_guard lock(impl_->mutex);
-    for (const std::string& ordered : impl_->retired) {
-      if (ordered.starts_with(vm + "@")) {
-        address = AddressOfKeeper(ordered);
-      }
-    }
-  }
-  if (address.empty()) {
-    return answer(RetireState::kUnknown);
-  }
-  const bool member = std::any_of(
-      impl_->members().members.begin(), impl_->members().members.end(),
-      [&](const Member& row) {
-        return AddressOfKeeper(row.node) == address;
+void Registrar::ReadRetire(const std::string& vm, const RetireAnswer& answer) {
+  impl_->state().Query(
+      state_codec::EncodeQuery(false), impl_->init().order_timeout_ms,
+      [this, vm, answer](const Outcome<fb::StateResultT>& outcome) {
+        if (!outcome) {
+          return answer(outcome.refusal());
+        }
+        for (const std::string& ordered : outcome->retired) {
+          if (ordered.starts_with(vm + "@")) {
+            return answer(impl_->IsMember(AddressOfKeeper(ordered))
+                              ? RetireState::kRunning
+                              : RetireState::kCompleted);
+          }
+        }
+        answer(RetireState::kUnknown);
       });
-  answer(member ? RetireState::kRunning : RetireState::kCompleted);
 }
 
 void Registrar::AddKeepers(const std::vector<Endpoint>& keepers) {
