--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -83,7 +83,7 @@
   RouteTable(uint64_t version,
              std::vector<Route> routes,
              std::vector<ServiceSpec> services,
-             const HttpLimits& limits);
+             const HttpServerLimits& limits);
 
   /// @param host with or without a port
   /// @param path without a query
@@ -92,7 +92,7 @@
   const ServiceSpec* FindService(const std::string& name) const;
   uint64_t version() const { return version_; }
   const std::vector<Route>& routes() const { return routes_; }
-  const HttpLimits& limits() const { return limits_; }
+  const HttpServerLimits& limits() const { return limits_; }
 
   /// @returns what is wrong: an unknown service, two routes at one place, no
   ///          weight, no timeout
@@ -102,7 +102,7 @@
   uint64_t version_ = 0;
   std::vector<Route> routes_;
   std::map<std::string, ServiceSpec> services_;
-  HttpLimits limits_;
+  HttpServerLimits limits_;
   std::map<std::string, std::map<std::string, size_t, std::less<>>, std::less<>>
       by_host_;
 };
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -285,14 +285,14 @@
 };
 
 /// Bounds on what a peer may send.
-struct HttpLimits {
+struct HttpServerLimits {
   size_t max_header_bytes = 16u << 10;
   size_t max_body_bytes = 4u << 20;
   int64_t header_timeout_ms = 3'000;  ///< From the first byte to the body's end.
   int64_t idle_timeout_ms = 15'000;   ///< Between requests.
   int64_t user_timeout_ms = 5'000;    ///< Unacknowledged data.
 
-  auto operator<=>(const HttpLimits&) const = default;
+  auto operator<=>(const HttpServerLimits&) const = default;
 };
 
 class HttpServerConnection;
@@ -384,8 +384,8 @@
       HttpServerHandlerI& handler);
   ~HttpServer();
 
-  void SetLimits(const HttpLimits& limits) { limits_ = limits; }
-  const HttpLimits& limits() const { return limits_; }
+  void SetLimits(const HttpServerLimits& limits) { limits_ = limits; }
+  const HttpServerLimits& limits() const { return limits_; }
   /// Responses from now on end their connections.
   void StopKeepAlive() { keep_alive_ = false; }
   /// Closes connections without a request under way.
@@ -402,7 +402,7 @@
 
   EventLoop& loop_;
   HttpServerHandlerI& handler_;
-  HttpLimits limits_;
+  HttpServerLimits limits_;
   bool keep_alive_ = true;
   std::unique_ptr<TcpListener> listener_;
   std::unordered_map<HttpServerConnection*,
--- a/src/gateway_routes.cc
+++ b/src/gateway_routes.cc
@@ -23,7 +23,7 @@
 RouteTable::RouteTable(uint64_t version,
                        std::vector<Route> routes,
                        std::vector<ServiceSpec> services,
-                       const HttpLimits& limits)
+                       const HttpServerLimits& limits)
     : version_(version), routes_(std::move(routes)), limits_(limits) {
   for (ServiceSpec& service : services) {
     const std::string name = service.name;
--- a/src/net_http_server.cc
+++ b/src/net_http_server.cc
@@ -46,7 +46,7 @@
 
 void HttpServerConnection::StartTimer() {
   const bool started = parser_.started();
-  const HttpLimits& limits = server_.limits();
+  const HttpServerLimits& limits = server_.limits();
   timer_.Start(started ? limits.header_timeout_ms : limits.idle_timeout_ms,
                [this, started] {
                  if (started) {
