--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -35,8 +35,8 @@
 };
 
 struct EngineSpec {
-  int32_t slots = 0;            ///< Requests that run at once.
-  int64_t cache_tokens = 0;     ///< Memory for running and cached prompts.
+  int32_t slots = 0;         ///< Requests that run at once.
+  int64_t cache_tokens = 0;  ///< Memory for running and cached prompts.
   int32_t tokens_per_event = 1;
 
   auto operator<=>(const EngineSpec&) const = default;
@@ -63,15 +63,15 @@
   std::string host;
   std::string path_prefix;  ///< Begins and ends with '/'.
   RepeatKind kind = RepeatKind::kNonIdempotent;
-  int64_t timeout_ms = 0;  ///< Longest time until the answer.
-  int64_t goal_ms = 0;     ///< Time until the answer (first event) is on time.
+  int64_t timeout_ms = 0;   ///< Longest time until the answer.
+  int64_t goal_ms = 0;      ///< Time until the answer (first event) is on time.
   int64_t gap_goal_ms = 0;  ///< Longest pause between events; 0: none.
-  int32_t priority = 0;    ///< 0 is the most urgent.
+  int32_t priority = 0;     ///< 0 is the most urgent.
   std::vector<RouteTarget> targets;
-  int32_t max_attempts = 1;    ///< Upstreams that may run one request.
-  bool keeps_turns = false;    ///< Requests carry only new input; see state.h.
-  int64_t retention_ms = 0;    ///< How long a turn is kept.
-  bool sticky = false;         ///< Upstreams cache what requests share.
+  int32_t max_attempts = 1;  ///< Upstreams that may run one request.
+  bool keeps_turns = false;  ///< Requests carry only new input; see state.h.
+  int64_t retention_ms = 0;  ///< How long a turn is kept.
+  bool sticky = false;       ///< Upstreams cache what requests share.
 
   auto operator<=>(const Route&) const = default;
 };
@@ -121,10 +121,10 @@
 struct CallerRequest {
   std::string id;  ///< Of this attempt of the caller; unique.
   std::string host;
-  std::string path;                 ///< Without the query.
-  std::optional<int64_t> wait_ms;   ///< How long the caller will wait.
-  std::string program;              ///< Empty: no program.
-  std::string session;              ///< Line of turns within the program.
+  std::string path;                ///< Without the query.
+  std::optional<int64_t> wait_ms;  ///< How long the caller will wait.
+  std::string program;             ///< Empty: no program.
+  std::string session;             ///< Line of turns within the program.
   std::optional<int64_t> program_wait_ms;  ///< Until the program should end.
   std::optional<int64_t> budget_tokens;    ///< Of the whole program.
   int64_t prompt_tokens = 0;
@@ -138,8 +138,8 @@
 
 /// What is set on a request towards an upstream.
 struct UpstreamSend {
-  std::string instance;   ///< Only this incarnation may run it.
-  int64_t wait_ms = 0;    ///< Time that is left.
+  std::string instance;  ///< Only this incarnation may run it.
+  int64_t wait_ms = 0;   ///< Time that is left.
   size_t body_bytes = 0;
 
   auto operator<=>(const UpstreamSend&) const = default;
@@ -180,9 +180,9 @@
   std::string service;
   Endpoint address;
   std::string domain;
-  std::string version;   ///< Of its software.
-  int32_t slots = 0;     ///< Requests that run at once.
-  int64_t born_ms = 0;   ///< Unix milliseconds of its start.
+  std::string version;    ///< Of its software.
+  int32_t slots = 0;      ///< Requests that run at once.
+  int64_t born_ms = 0;    ///< Unix milliseconds of its start.
   uint64_t sequence = 0;  ///< Of the announcement.
   UpstreamState state = UpstreamState::kReady;
   int64_t cold_left_ms = 0;
@@ -239,11 +239,12 @@
   bool same_domain = false;
   bool same_region = false;
   int32_t slots = 1;
-  int32_t in_flight = 0;      ///< Requests of all entries, as far as known.
-  int64_t cached_tokens = 0;  ///< Of this prompt, believed to be cached.
-  bool tried = false;         ///< Has answered this request before.
-  bool suspected = false;     ///< Failed a moment ago.
-  bool cold = false;          ///< Started a moment ago and is still slow.
+  int32_t in_flight = 0;        ///< Requests of all entries, as far as known.
+  int64_t cached_tokens = 0;    ///< Of this prompt, believed to be cached.
+  bool tried = false;           ///< Has answered this request before.
+  bool suspected = false;       ///< Failed a moment ago.
+  int32_t failure_percent = 0;  ///< Of recent requests of this entry.
+  bool cold = false;            ///< Started a moment ago and is still slow.
 
   auto operator<=>(const PlacementCandidate&) const = default;
 };
@@ -268,9 +269,9 @@
   std::string domain;
   std::string region;
   std::map<std::string, std::string> regions;  ///< Domain to region.
-  Endpoint listen;        ///< For callers.
-  Endpoint ready_listen;  ///< Serves GET /ready.
-  std::vector<Endpoint> keepers;  ///< Some keepers; others are learned.
+  Endpoint listen;                             ///< For callers.
+  Endpoint ready_listen;                       ///< Serves GET /ready.
+  std::vector<Endpoint> keepers;    ///< Some keepers; others are learned.
   int64_t drain_notice_ms = 2'500;  ///< Until the balancer has noticed a stop.
   int64_t grace_ms = 8'000;         ///< From the stop request to the kill.
   size_t chain_cache_bytes = 16u << 20;
--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -41,6 +41,7 @@
 struct KeeperHostInit {
   std::string ring;
   std::string node;
+  std::string region;  ///< Of this VM; for the choice of leaders.
   std::string data_folder;
   std::vector<ReplicaSpec> replicas;
   std::map<std::string, Endpoint> keepers;  ///< Node to address, all keepers.
@@ -95,10 +96,10 @@
   /// What was committed a moment ago; a learner that has it keeps up.
   uint64_t commit_index = 0;
   std::vector<MemberProgress> members;
-  std::vector<JoinRequest> joins;        ///< Heard a moment ago.
-  std::set<std::string> retired;         ///< Addresses to be emptied.
+  std::vector<JoinRequest> joins;  ///< Heard a moment ago.
+  std::set<std::string> retired;   ///< Addresses to be emptied.
   size_t max_voters = SIZE_MAX;
-  int64_t lost_ticks = 0;                ///< Silence after which one is lost.
+  int64_t lost_ticks = 0;  ///< Silence after which one is lost.
 
   auto operator<=>(const MembershipInput&) const = default;
 };
@@ -117,6 +118,21 @@
 ///          name
 std::string AddressOfKeeper(const std::string& node);
 
+/// A voter as the choice of a leader sees it.
+struct LeaderCandidate {
+  ReplicaNumber id = 0;
+  std::string region;
+  bool ready = false;  ///< Heard a moment ago and up to date.
+
+  auto operator<=>(const LeaderCandidate&) const = default;
+};
+
+/// Chooses a better leader: one in the region of most voters, because commits
+/// and most entries are then reached without the link between regions.
+/// @returns 0 if the present leader should stay
+ReplicaNumber PreferredLeader(ReplicaNumber leader,
+                              const std::vector<LeaderCandidate>& voters);
+
 /// Chooses the next change of members, one at a time. A voter is removed only
 /// if its disk is known to be lost or its successor votes already, so that a
 /// further loss in between does not take the majority.
@@ -224,6 +240,8 @@
     int64_t attempt_timeout_ms = 500;
     /// Pause after each known keeper has refused.
     int64_t round_pause_ms = 30;
+    /// Without a word of any keeper for this time, calls are given up.
+    int64_t silence_ms = 900;
   };
   using Callback = std::function<void(const Outcome<fb::StateResultT>&)>;
 
@@ -252,7 +270,8 @@
                const std::string& node,
                uint64_t correlation,
                const std::string& payload);
-  bool connected() const;
+  /// @returns false if no keeper is connected, or none has answered lately
+  bool reachable() const;
 
  private:
   class Impl;
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -229,6 +229,8 @@
 };
 
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);
+/// @returns true if a text may be a header name
+bool IsToken(std::string_view text);
 /// @returns true for headers that concern one connection only
 bool IsHopByHop(std::string_view name);
 /// @returns the number if the whole text is a decimal number that fits
@@ -288,9 +290,10 @@
 struct HttpServerLimits {
   size_t max_header_bytes = 16u << 10;
   size_t max_body_bytes = 4u << 20;
-  int64_t header_timeout_ms = 3'000;  ///< From the first byte to the body's end.
-  int64_t idle_timeout_ms = 15'000;   ///< Between requests.
-  int64_t user_timeout_ms = 5'000;    ///< Unacknowledged data.
+  int64_t header_timeout_ms =
+      3'000;                         ///< From the first byte to the body's end.
+  int64_t idle_timeout_ms = 15'000;  ///< Between requests.
+  int64_t user_timeout_ms = 5'000;   ///< Unacknowledged data.
 
   auto operator<=>(const HttpServerLimits&) const = default;
 };
--- a/include/persimmonring/registrar.h
+++ b/include/persimmonring/registrar.h
@@ -19,14 +19,14 @@
 namespace ring {
 
 struct RegistrarInit {
-  std::string node;                  ///< "keeper@<ip>:<port>".
-  std::string vm;                    ///< Name of this VM.
-  std::vector<Endpoint> keepers;     ///< Some others; more are learned.
+  std::string node;               ///< "keeper@<ip>:<port>".
+  std::string vm;                 ///< Name of this VM.
+  std::vector<Endpoint> keepers;  ///< Some others; more are learned.
   int64_t announce_period_ms = 1'200;
   /// Announcements that may be missing before an upstream counts as silent;
   /// one may come seconds late.
   int64_t missed_announcements = 5;
-  size_t min_members = 3;  ///< A retire order must leave as many.
+  size_t min_members = 3;          ///< A retire order must leave as many.
   int64_t order_timeout_ms = 900;  ///< Callers try elsewhere after a second.
 };
 
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -35,9 +35,8 @@
 class StateObserverI {
  public:
   virtual ~StateObserverI() = default;
-  virtual void OnConfiguration(
-      uint64_t version,
-      std::shared_ptr<const std::string> document) = 0;
+  virtual void OnConfiguration(uint64_t version,
+                               std::shared_ptr<const std::string> document) = 0;
   virtual void OnUpstream(const fb::RegisterUpstreamT& upstream) = 0;
   virtual void OnDeparture(const UpstreamDeparture& departure) = 0;
   virtual void OnRetire(const std::set<std::string>& nodes) = 0;
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -19,6 +19,12 @@
 constexpr int64_t kStateWaitMs = 1'800;
 // The record of an answered or abandoned turn is repeated for this long.
 constexpr int64_t kFinishWaitMs = 20'000;
+// An upstream that has not begun to answer after this many goals of the route,
+// and at least this time, is suspected; the request goes on.
+constexpr int64_t kSlowGoals = 3;
+constexpr int64_t kSlowMs = 500;
+// Share of the time left that a first attempt gets on a route without a goal.
+constexpr int64_t kPatienceShare = 3;
 // Responses up to this size are checked whole before they are passed on.
 constexpr size_t kMaxBuffered = 256u << 10;
 // The upstream is not read while the caller has this much to take.
@@ -66,11 +72,11 @@
 }  // namespace
 
 struct GatewayCall::Turn {
-  ChainCache::Text chain;     ///< All before this turn.
-  std::string body;           ///< Chain and new input.
+  ChainCache::Text chain;  ///< All before this turn.
+  std::string body;        ///< Chain and new input.
   EventStreamReader events;
   int32_t tokens_per_event = 1;
-  bool begun = false;         ///< The state group holds a reservation.
+  bool begun = false;  ///< The state group holds a reservation.
   bool finished = false;
 };
 
@@ -86,7 +92,9 @@
       start_ms_(gateway.loop().now_ms()),
       deadline_timer_(gateway.loop()),
       connect_timer_(gateway.loop()),
-      wait_timer_(gateway.loop()) {}
+      wait_timer_(gateway.loop()),
+      patience_timer_(gateway.loop()),
+      slow_timer_(gateway.loop()) {}
 
 GatewayCall::~GatewayCall() = default;
 
@@ -136,12 +144,12 @@
     return Refuse({Reason::kUnknownPath, RunState::kNotRun,
                    "no route matches host and path"});
   }
-  const int64_t wait_ms = std::min(info_.wait_ms.value_or(kDefaultWaitMs),
-                                   route_->timeout_ms);
+  const int64_t wait_ms =
+      std::min(info_.wait_ms.value_or(kDefaultWaitMs), route_->timeout_ms);
   deadline_ms_ = start_ms_ + wait_ms;
   if (wait_ms <= 0) {
-    return Refuse({Reason::kDeadlinePassed, RunState::kNotRun,
-                   "no time is left", 0});
+    return Refuse(
+        {Reason::kDeadlinePassed, RunState::kNotRun, "no time is left", 0});
   }
   deadline_timer_.Start(wait_ms, [this] { OnDeadline(); });
   ChooseService();
@@ -186,17 +194,18 @@
   begin.budget_tokens = info_.budget_tokens.value_or(-1);
   begin.max_tokens = info_.max_output_tokens;
   turn_->begun = true;
-  gateway_.state().Propose(
-      state_codec::EncodeBegin(begin), std::min(kStateWaitMs, left_ms()),
-      [this, alive = std::weak_ptr<bool>(alive_)](
-          const Outcome<fb::StateResultT>& outcome) {
-        if (!alive.expired()) {
-          OnTurnBegun(outcome);
-        }
-      });
+  gateway_.state().Propose(state_codec::EncodeBegin(begin),
+                           std::min(kStateWaitMs, left_ms()),
+                           [this, alive = std::weak_ptr<bool>(alive_)](
+                               const Outcome<fb::StateResultT>& outcome) {
+                             if (!alive.expired()) {
+                               OnTurnBegun(outcome);
+                             }
+                           });
 }
 
 void GatewayCall::OnTurnBegun(const Outcome<fb::StateResultT>& outcome) {
+  begun_ms_ = gateway_.loop().now_ms() - start_ms_;
   if (!outcome) {
     return Refuse({Reason::kNoQuorum, RunState::kNotRun,
                    outcome.refusal().message, kRetryAfterMs});
@@ -214,8 +223,8 @@
       break;
     default:
       turn_->begun = false;
-      return Refuse({Reason::kBadRequest, RunState::kNotRun,
-                     "the turn cannot be begun"});
+      return Refuse(
+          {Reason::kBadRequest, RunState::kNotRun, "the turn cannot be begun"});
   }
   last_upstream_ = outcome->last_upstream;
   if (!turn_->chain && !info_.previous_turn.empty()) {
@@ -249,8 +258,12 @@
   SendTo(*upstream);
 }
 
-void GatewayCall::SendTo(const UpstreamInstance& upstream) {
+void GatewayCall::SendTo(const Gateway::Impl::Placed& placed) {
+  const UpstreamInstance& upstream = placed.upstream;
   upstream_ = upstream;
+  load_ = placed.in_flight;
+  candidates_ = placed.candidates;
+  sent_ms_ = gateway_.loop().now_ms() - start_ms_;
   tried_.insert(upstream.instance);
   ++sends_;
   connection_ = gateway_.pool().Take(upstream.address);
@@ -260,16 +273,36 @@
   }
   const std::string& body = turn_ ? turn_->body : request_.body;
   const std::string head = gateway_.protocol().EncodeSend(
-      request_.head, info_,
-      {upstream.instance, left_ms(), body.size()});
+      request_.head, info_, {upstream.instance, left_ms(), body.size()});
   sent_ = true;
   gateway_.NoteSent(upstream.instance);
   if (!connection_->connected()) {
     connect_timer_.Start(kConnectTimeoutMs, [this] { OnConnectTimeout(); });
   }
+  if (may_repeat() && runs_ + 1 < route_->max_attempts) {
+    const int64_t patience_ms =
+        route_->goal_ms > 0 ? route_->goal_ms : left_ms() / kPatienceShare;
+    if (patience_ms < left_ms()) {
+      patience_timer_.Start(patience_ms, [this] { OnPatienceOver(); });
+    }
+  }
+  slow_timer_.Start(std::max(kSlowMs, kSlowGoals * route_->goal_ms), [this] {
+    gateway_.NoteFailure(upstream_, Reason::kUpstreamTimeout);
+  });
   connection_->Start(this, head, body);
 }
 
+// An upstream may have lost the answer, hang or be much slower than others;
+// the last permitted attempt gets all the time that is left.
+void GatewayCall::OnPatienceOver() {
+  maybe_run_ = true;
+  ++runs_;
+  ReleaseConnection(false);
+  gateway_.NoteFailure(upstream_, Reason::kUpstreamTimeout);
+  RetryOrRefuse({Reason::kUpstreamTimeout, RunState::kUnknown,
+                 "the upstream did not answer in time", kRetryAfterMs});
+}
+
 // Nothing of the request leaves before the connection is established.
 void GatewayCall::OnConnectTimeout() {
   if (connection_ && !connection_->connected()) {
@@ -279,6 +312,8 @@
 
 void GatewayCall::ReleaseConnection(bool reuse) {
   connect_timer_.Stop();
+  patience_timer_.Stop();
+  slow_timer_.Stop();
   if (sent_) {
     sent_ = false;
     gateway_.NoteEnded(upstream_.instance);
@@ -303,6 +338,9 @@
         .Add("answers", answer.request_id);
     return false;
   }
+  patience_timer_.Stop();
+  slow_timer_.Stop();
+  head_ms_ = gateway_.loop().now_ms() - start_ms_;
   head_ = std::move(head);
   buffered_.clear();
   constexpr int kFirstError = 300;
@@ -380,7 +418,11 @@
   maybe_run_ = true;
   ++runs_;
   ReleaseConnection(true);
-  gateway_.NoteSuccess(upstream_.instance);
+  if (head_.status >= kServerError) {
+    gateway_.NoteError(upstream_.instance);
+  } else {
+    gateway_.NoteSuccess(upstream_.instance);
+  }
   if (!forwarding_ && head_.status >= kServerError && may_repeat() &&
       runs_ < route_->max_attempts && sends_ < kMaxSends) {
     metrics::CountRetry(Reason::kUpstreamError);
@@ -440,8 +482,8 @@
     text->append(finish.output);
     gateway_.chains().Put(info_.id, std::move(text));
   }
-  const int64_t wait_ms = complete ? std::max<int64_t>(left_ms(), 1)
-                                   : kFinishWaitMs;
+  const int64_t wait_ms =
+      complete ? std::max<int64_t>(left_ms(), 1) : kFinishWaitMs;
   gateway_.state().Propose(
       state_codec::EncodeFinish(finish), wait_ms,
       [then = std::move(then), alive = std::weak_ptr<bool>(alive_)](
@@ -491,10 +533,10 @@
     FinishTurn(false, nullptr);
     return End();
   }
-  RetryOrRefuse({reason,
-                 never_left && !maybe_run_ ? RunState::kNotRun
-                                           : RunState::kUnknown,
-                 "the upstream connection failed", kRetryAfterMs});
+  RetryOrRefuse(
+      {reason,
+       never_left && !maybe_run_ ? RunState::kNotRun : RunState::kUnknown,
+       "the upstream connection failed", kRetryAfterMs});
 }
 
 void GatewayCall::RetryOrRefuse(const Refusal& refusal) {
@@ -549,6 +591,10 @@
       headers.push_back(
           {"Retry-After", RetryAfterText(refusal.retry_after_ms)});
     }
+    if (!gateway_.reaches_keepers()) {
+      // The caller's next request should reach an entry that is not cut off.
+      caller_->CloseAfterResponse();
+    }
     std::exchange(caller_, nullptr)
         ->Respond(status, headers,
                   std::string(ToString(refusal.reason)) + "\n");
@@ -586,11 +632,18 @@
       .Add("reason", refusal.reason)
       .Add("run", ToString(refusal.run_state))
       .Add("upstream", upstream_.instance)
+      .Add("load", int{load_})
+      .Add("candidates", uint64_t{candidates_})
       .Add("sends", int{sends_})
+      .Add("begun_ms", begun_ms_)
+      .Add("sent_ms", sent_ms_)
+      .Add("head_ms", head_ms_)
       .Add("took_ms", took_ms);
   if (!refusal.message.empty()) {
     event.Add("detail", refusal.message);
   }
+  metrics::ObserveMs("ring_request_ms", {{"outcome", outcome}},
+                     static_cast<double>(took_ms));
 }
 
 void GatewayCall::End() {
@@ -599,6 +652,8 @@
     deadline_timer_.Stop();
     connect_timer_.Stop();
     wait_timer_.Stop();
+    patience_timer_.Stop();
+    slow_timer_.Stop();
     gateway_.StopWaiting(this);
     gateway_.Remove(this);
   }
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -7,10 +7,6 @@
 namespace ring {
 namespace {
 
-// A suspected upstream gets no request for this time if others are ready; it
-// doubles with each further failure.
-constexpr int64_t kFirstSuspectMs = 300;
-constexpr int64_t kMaxSuspectMs = 4'000;
 // A keeper that did not hand out the configuration is asked again after this.
 constexpr int64_t kConfigRetryMs = 150;
 constexpr int64_t kConfigTimeoutMs = 1'000;
@@ -109,7 +105,7 @@
 }
 
 bool Gateway::Impl::ready() const {
-  return table_ != nullptr && !draining_;
+  return table_ != nullptr && !draining_ && state_->reachable();
 }
 
 std::string Gateway::Impl::RegionOf(const std::string& domain) const {
@@ -287,17 +283,15 @@
 
 void Gateway::Impl::NoteFailure(const UpstreamInstance& upstream,
                                 Reason reason) {
-  Suspect& suspect = suspects_[upstream.instance];
-  suspect.pause_ms =
-      std::clamp(suspect.pause_ms * 2, kFirstSuspectMs, kMaxSuspectMs);
-  suspect.until_ms = loop_.now_ms() + suspect.pause_ms;
+  const int64_t pause_ms = health_.OnFailure(upstream.instance, loop_.now_ms());
   Event(LogLevel::kInfo, "upstream_suspected")
       .Add("upstream", upstream.instance)
       .Add("reason", reason)
-      .Add("for_ms", suspect.pause_ms);
+      .Add("failing_percent", int{health_.FailurePercent(upstream.instance)})
+      .Add("for_ms", pause_ms);
 }
 
-std::optional<UpstreamInstance> Gateway::Impl::Place(
+std::optional<Gateway::Impl::Placed> Gateway::Impl::Place(
     const std::string& service,
     const GatewayCall& call) const {
   const ServiceSpec* spec = table_->FindService(service);
@@ -318,9 +312,9 @@
       candidate.cached_tokens = call.info().prompt_tokens;
     }
     candidate.tried = call.tried().contains(upstream->instance);
-    const auto suspect = suspects_.find(upstream->instance);
-    candidate.suspected = suspect != suspects_.end() &&
-                          suspect->second.until_ms > loop_.now_ms();
+    candidate.suspected =
+        health_.IsSuspected(upstream->instance, loop_.now_ms());
+    candidate.failure_percent = health_.FailurePercent(upstream->instance);
     candidate.cold = upstream->cold_left_ms > 0;
     input.candidates.push_back(std::move(candidate));
   }
@@ -328,7 +322,8 @@
   if (!chosen) {
     return std::nullopt;
   }
-  return *ready[*chosen];
+  return Placed{*ready[*chosen], input.candidates[*chosen].in_flight,
+                ready.size()};
 }
 
 // --------------------------------------------------------------------- ending
@@ -385,9 +380,8 @@
 }
 
 void Gateway::OnOpened(SessionHandle session, const PeerInfo& peer) {
-  impl_->loop().Post([this, session, node = peer.node] {
-    impl_->OnSession(session, node);
-  });
+  impl_->loop().Post(
+      [this, session, node = peer.node] { impl_->OnSession(session, node); });
 }
 
 void Gateway::OnFrame(SessionHandle session,
--- /dev/null
+++ b/src/gateway_health.cc
@@ -0,0 +1,62 @@
+#include "gateway_health_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ring {
+namespace {
+
+// A suspected upstream gets no request for this time if others are ready; it
+// doubles with each failure in a row. The first is a few round trips, so that
+// one reset costs little; the last bounds the delay of a return.
+constexpr int64_t kFirstPauseMs = 300;
+constexpr int64_t kMaxPauseMs = 4'000;
+// Weight of the newest request: about the last eight requests count.
+constexpr double kWeight = 0.12;
+// Below this rate a record says nothing.
+constexpr double kForgetRate = 0.01;
+
+}  // namespace
+
+void UpstreamHealth::OnSuccess(const std::string& instance) {
+  const auto found = records_.find(instance);
+  if (found == records_.end()) {
+    return;
+  }
+  Record& record = found->second;
+  record.failure_rate *= 1 - kWeight;
+  record.pause_ms = 0;
+  record.suspected_until_ms = 0;
+  if (record.failure_rate < kForgetRate) {
+    records_.erase(found);
+  }
+}
+
+void UpstreamHealth::OnError(const std::string& instance) {
+  Record& record = records_[instance];
+  record.failure_rate += (1 - record.failure_rate) * kWeight;
+}
+
+int64_t UpstreamHealth::OnFailure(const std::string& instance, int64_t now_ms) {
+  Record& record = records_[instance];
+  record.failure_rate += (1 - record.failure_rate) * kWeight;
+  record.pause_ms = std::clamp(record.pause_ms * 2, kFirstPauseMs, kMaxPauseMs);
+  record.suspected_until_ms = now_ms + record.pause_ms;
+  return record.pause_ms;
+}
+
+bool UpstreamHealth::IsSuspected(const std::string& instance,
+                                 int64_t now_ms) const {
+  const auto found = records_.find(instance);
+  return found != records_.end() && now_ms < found->second.suspected_until_ms;
+}
+
+int32_t UpstreamHealth::FailurePercent(const std::string& instance) const {
+  constexpr double kPercent = 100;
+  const auto found = records_.find(instance);
+  return found == records_.end() ? 0
+                                 : static_cast<int32_t>(std::lround(
+                                       found->second.failure_rate * kPercent));
+}
+
+}  // namespace ring
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "gateway_chains_p.h"
+#include "gateway_health_p.h"
 #include "gateway_pool_p.h"
 #include "persimmonring/gateway.h"
 
@@ -40,18 +41,22 @@
   void OnDrained(HttpServerConnection& connection) override;
 
   // For calls.
-  struct Placement {
+  struct Placed {
     UpstreamInstance upstream;
-    ConnectionPool::Connection connection;
+    int32_t in_flight = 0;  ///< Requests there, as far as known.
+    size_t candidates = 0;
   };
   /// @param service where the call is to run
   /// @param tried instances that have answered this call before
-  std::optional<UpstreamInstance> Place(const std::string& service,
-                                        const GatewayCall& call) const;
+  std::optional<Placed> Place(const std::string& service,
+                              const GatewayCall& call) const;
   void NoteSent(const std::string& instance) { ++in_flight_[instance]; }
   void NoteEnded(const std::string& instance);
   void NoteFailure(const UpstreamInstance& upstream, Reason reason);
-  void NoteSuccess(const std::string& instance) { suspects_.erase(instance); }
+  void NoteError(const std::string& instance) { health_.OnError(instance); }
+  void NoteSuccess(const std::string& instance) { health_.OnSuccess(instance); }
+  /// @returns false if no keeper has answered for a while
+  bool reaches_keepers() const { return state_->reachable(); }
   void Remove(GatewayCall* call);
   /// Resumes the call when the configuration or the upstreams change.
   void WaitForNews(GatewayCall* call) { waiting_.insert(call); }
@@ -69,10 +74,6 @@
   std::string RegionOf(const std::string& domain) const;
 
  private:
-  struct Suspect {
-    int64_t until_ms = 0;
-    int64_t pause_ms = 0;
-  };
   class ReadyHandler;
 
   void OnUpstreamUpdate(const std::string& node, const std::string& payload);
@@ -97,7 +98,7 @@
   bool fetching_ = false;
   UpstreamTable upstreams_;
   std::unordered_map<std::string, int32_t> in_flight_;  ///< By instance.
-  std::unordered_map<std::string, Suspect> suspects_;
+  UpstreamHealth health_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<ReadyHandler> ready_handler_;
   std::unique_ptr<HttpServer> ready_server_;
@@ -149,8 +150,10 @@
   void FinishTurn(bool complete, std::function<void(bool kept)> then);
   void ChooseService();
   void Send();
-  void SendTo(const UpstreamInstance& upstream);
+  void SendTo(const Gateway::Impl::Placed& placed);
   void OnConnectTimeout();
+  /// An idempotent request has waited long enough for this upstream.
+  void OnPatienceOver();
   void RetryOrRefuse(const Refusal& refusal);
   void StartForwarding();
   void Forward(std::string_view bytes);
@@ -176,19 +179,28 @@
   ScopedTimer deadline_timer_;
   ScopedTimer connect_timer_;
   ScopedTimer wait_timer_;
+  ScopedTimer patience_timer_;
+  ScopedTimer slow_timer_;
 
   std::unique_ptr<Turn> turn_;  ///< Of a route that keeps turns.
   std::string last_upstream_;   ///< Ran the previous turn.
 
   // The attempt under way.
   UpstreamInstance upstream_;
+  int32_t load_ = 0;       ///< Requests at the upstream when it was chosen.
+  size_t candidates_ = 0;  ///< Upstreams it was chosen from.
   ConnectionPool::Connection connection_;
-  bool sent_ = false;        ///< The upstream may have the request.
-  bool maybe_run_ = false;   ///< Some upstream may have run it.
-  int32_t runs_ = 0;         ///< Upstreams that may have run it.
+  bool sent_ = false;       ///< The upstream may have the request.
+  bool maybe_run_ = false;  ///< Some upstream may have run it.
+  int32_t runs_ = 0;        ///< Upstreams that may have run it.
   int32_t sends_ = 0;
   std::set<std::string> tried_;
 
+  // Times since the arrival, for the log.
+  int64_t begun_ms_ = 0;  ///< Until the state group had answered.
+  int64_t sent_ms_ = 0;   ///< Until the latest send.
+  int64_t head_ms_ = 0;   ///< Until the head of the response.
+
   // The response.
   HttpHead head_;
   std::string buffered_;
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -23,6 +23,9 @@
 constexpr int64_t kQueuedUs = 60'000;
 constexpr int64_t kColdUs = 20'000;
 constexpr int64_t kSuspectedUs = 2'000'000;
+// For each percent of requests that fail: a failure costs the caller about a
+// second until it has tried again.
+constexpr int64_t kFailingUs = 10'000;
 constexpr int64_t kTriedUs = 10'000'000;
 constexpr int64_t kTieUs = 400;
 
@@ -50,6 +53,7 @@
   }
   cost += candidate.cold ? kColdUs : 0;
   cost += candidate.suspected ? kSuspectedUs : 0;
+  cost += candidate.failure_percent * kFailingUs;
   cost += candidate.tried ? kTriedUs : 0;
   return cost;
 }
--- a/src/gateway_pool.cc
+++ b/src/gateway_pool.cc
@@ -59,10 +59,9 @@
   raw->SetReading(true);
   raw->OnUnusable([this, key, raw] {
     std::vector<Idle>& list = idle_[key];
-    const auto it =
-        std::find_if(list.begin(), list.end(), [raw](const Idle& idle) {
-          return idle.connection.get() == raw;
-        });
+    const auto it = std::find_if(
+        list.begin(), list.end(),
+        [raw](const Idle& idle) { return idle.connection.get() == raw; });
     if (it != list.end()) {
       Discard(std::move(it->connection));
       list.erase(it);
--- a/src/gateway_upstream_table.cc
+++ b/src/gateway_upstream_table.cc
@@ -27,8 +27,7 @@
     if (reborn) {
       entry = {news, {}};
     } else {
-      const UpstreamState state =
-          std::max(entry.upstream.state, news.state);
+      const UpstreamState state = std::max(entry.upstream.state, news.state);
       if (news.sequence > entry.upstream.sequence) {
         entry.upstream = news;
       }
--- a/src/keeper_group_members.cc
+++ b/src/keeper_group_members.cc
@@ -12,6 +12,10 @@
 // Silence after which a voter is replaced if a learner stands ready. Longer
 // than a restart of a process, so that restarts move no data.
 constexpr int64_t kLostMs = 3'000;
+// How often a leader looks for a better place; a new leader first settles.
+constexpr int64_t kMoveMs = 2'000;
+// A voter that was silent longer does not get the leadership.
+constexpr int64_t kReadyMs = 300;
 
 }  // namespace
 
@@ -22,6 +26,7 @@
   }
   if (replica_->is_leader()) {
     ChangeMembers();
+    MoveLeadership();
   } else if (replica_->config().Find(init_.identity.replica) == nullptr ||
              now_ms - leader_seen_ms_ > kLeaderlessMs) {
     AskToJoin();
@@ -99,4 +104,36 @@
       .Add("outcome", proposed ? Reason::kNone : proposed.refusal().reason);
 }
 
+void GroupHost::MoveLeadership() {
+  const int64_t now_ms = clock_.NowMs();
+  if (now_ms < next_move_ms_ || !replica_->is_leader()) {
+    return;
+  }
+  next_move_ms_ = now_ms + kMoveMs;
+  const ReplicaStatus status = replica_->status();
+  std::vector<LeaderCandidate> voters;
+  for (const MemberProgress& row : status.members) {
+    if (!row.member.voter) {
+      continue;
+    }
+    const bool self = row.member.id == status.id;
+    const auto region = regions_.find(row.member.id);
+    voters.push_back(
+        {row.member.id,
+         self ? init_.region
+              : (region == regions_.end() ? std::string() : region->second),
+         row.silent_ticks * init_.tick_ms < kReadyMs &&
+             row.match_index >= earlier_commit_});
+  }
+  const ReplicaNumber target = PreferredLeader(status.id, voters);
+  if (target == 0) {
+    return;
+  }
+  const Status moved = replica_->TransferLeader(target);
+  Event(LogLevel::kInfo, "leadership_moved")
+      .Add("group", name())
+      .Add("to", target)
+      .Add("outcome", moved ? Reason::kNone : moved.refusal().reason);
+}
+
 }  // namespace ring
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -3,8 +3,8 @@
 #include <atomic>
 #include <deque>
 #include <map>
-#include <set>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +37,7 @@
   Kind kind = Kind::kRaft;
   SessionHandle session;
   std::string node;  ///< Sender.
+  std::string region;
   uint64_t correlation = 0;
   std::string payload;
 };
@@ -47,6 +48,7 @@
   struct Init {
     WalIdentity identity;
     std::string node;
+    std::string region;
     std::vector<Member> initial_members;
     int64_t tick_ms = 50;
     int32_t heartbeat_ticks = 2;
@@ -124,6 +126,7 @@
   void AskToJoin();
   void HandleJoin(const Caller& caller, const std::string& payload);
   void ChangeMembers();
+  void MoveLeadership();
 
   // Requests (keeper_group_requests.cc).
   void HandleRaft(const GroupInput& input);
@@ -156,8 +159,10 @@
   std::unique_ptr<Wal> wal_;
   std::unique_ptr<Replica> replica_;
   std::unique_ptr<StateMachineI> machine_;
-  std::map<ReplicaNumber, std::string> nodes_;  // Learned from messages.
-  std::map<uint64_t, Pending> pending_;         // By log index.
+  std::map<ReplicaNumber, std::string> nodes_;    // Learned from messages.
+  std::map<ReplicaNumber, std::string> regions_;  // As well.
+  int64_t next_move_ms_ = 0;
+  std::map<uint64_t, Pending> pending_;  // By log index.
   std::vector<Query> new_queries_;
   std::map<uint64_t, std::vector<Query>> queries_;  // By barrier id.
   uint64_t next_barrier_ = 1;
--- a/src/keeper_group_requests.cc
+++ b/src/keeper_group_requests.cc
@@ -91,6 +91,7 @@
     return;
   }
   nodes_[message->from] = input.node;
+  regions_[message->from] = input.region;
   replica_->Step(*message, clock_.WallMs());
 }
 
--- a/src/keeper_host.cc
+++ b/src/keeper_host.cc
@@ -89,6 +89,7 @@
     GroupHost::Init group;
     group.identity = {init_.ring, spec.group, spec.id};
     group.node = init_.node;
+    group.region = init_.region;
     group.initial_members = spec.initial_members;
     group.tick_ms = init_.tick_ms;
     group.heartbeat_ticks = init_.heartbeat_ticks;
@@ -212,6 +213,7 @@
   input.kind = raft ? GroupInput::Kind::kRaft : GroupInput::Kind::kRequest;
   input.session = session;
   input.node = peer.node;
+  input.region = peer.region;
   input.correlation = frame.correlation;
   input.payload = frame.payload;
   if (group->TryPush(std::move(input))) {
--- a/src/keeper_membership.cc
+++ b/src/keeper_membership.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 
 #include "persimmonring/keeper.h"
 
@@ -69,6 +70,25 @@
   return at == std::string::npos ? node : node.substr(at + 1);
 }
 
+ReplicaNumber PreferredLeader(ReplicaNumber leader,
+                              const std::vector<LeaderCandidate>& voters) {
+  std::map<std::string, size_t> in_region;
+  std::string own;
+  for (const LeaderCandidate& voter : voters) {
+    ++in_region[voter.region];
+    if (voter.id == leader) {
+      own = voter.region;
+    }
+  }
+  for (const LeaderCandidate& voter : voters) {
+    if (voter.ready && !voter.region.empty() && !own.empty() &&
+        2 * in_region[voter.region] > voters.size() && voter.region != own) {
+      return voter.id;
+    }
+  }
+  return 0;
+}
+
 MembershipChange PlanMembership(const MembershipInput& input) {
   // The same node under a new id has lost its disk and with it its vote.
   for (const JoinRequest& join : input.joins) {
@@ -84,9 +104,9 @@
     }
   }
   for (const JoinRequest& join : input.joins) {
-    const bool member = std::any_of(
-        input.members.begin(), input.members.end(),
-        [&](const auto& row) { return row.member.id == join.id; });
+    const bool member =
+        std::any_of(input.members.begin(), input.members.end(),
+                    [&](const auto& row) { return row.member.id == join.id; });
     if (!member && !input.retired.contains(AddressOfKeeper(join.node))) {
       return Add(join, "a keeper asked for a place");
     }
@@ -97,9 +117,8 @@
     return Remove(leaving->member, "its successor votes");
   }
   const MemberProgress* const successor = FindSuccessor(input);
-  const bool wanted =
-      voters < input.max_voters ||
-      (voters == input.max_voters && leaving != nullptr);
+  const bool wanted = voters < input.max_voters ||
+                      (voters == input.max_voters && leaving != nullptr);
   if (wanted && successor != nullptr && MayGrow(input)) {
     return {MembershipChange::Kind::kPromote, successor->member.id,
             successor->member.node, "the learner keeps up"};
--- a/src/keeper_state_client.cc
+++ b/src/keeper_state_client.cc
@@ -19,6 +19,7 @@
   struct Call {
     fb::KeeperOp op = fb::KeeperOp::Propose;
     std::string payload;
+    int64_t start_ms = 0;
     int64_t deadline_ms = 0;
     SessionHandle fixed;  ///< Only this keeper is asked.
     Callback callback;
@@ -34,6 +35,7 @@
   using CallPtr = std::shared_ptr<Call>;
 
   void Start(CallPtr call) {
+    call->start_ms = loop_.now_ms();
     calls_.push_back(call);
     Attempt(call);
     if (!sweep_.active()) {
@@ -43,6 +45,7 @@
 
   void OnOpened(SessionHandle session, const std::string& node) {
     keepers_[session] = node;
+    Hear();
     for (const CallPtr& call : std::vector<CallPtr>(calls_)) {
       if (call->retry_at_ms > 0) {
         Attempt(call);
@@ -65,6 +68,7 @@
                const std::string& node,
                uint64_t correlation,
                const std::string& payload) {
+    Hear();
     const auto found = by_correlation_.find(correlation);
     const auto answer = DecodeKeeperAnswer(payload);
     if (found == by_correlation_.end() || !answer) {
@@ -82,11 +86,11 @@
       return;
     }
     call->problem = answer->refusal.message;
-    call->may_take_effect = call->may_take_effect ||
-                            answer->refusal.run_state != RunState::kNotRun;
+    call->may_take_effect =
+        call->may_take_effect || answer->refusal.run_state != RunState::kNotRun;
     const Reason reason = answer->refusal.reason;
-    if (isValid(call->fixed) || (reason != Reason::kNotLeader &&
-                                 reason != Reason::kNoQuorum)) {
+    if (isValid(call->fixed) ||
+        (reason != Reason::kNotLeader && reason != Reason::kNoQuorum)) {
       return End(call, answer->refusal);
     }
     if (leader_ == session) {
@@ -102,9 +106,16 @@
     Again(call, call->refusals % round == 0 ? init_.round_pause_ms : 0);
   }
 
-  bool connected() const { return !keepers_.empty(); }
+  bool reachable() const { return !keepers_.empty() && !silent_; }
 
  private:
+  void Hear() {
+    heard_ms_ = loop_.now_ms();
+    if (std::exchange(silent_, false)) {
+      Event(LogLevel::kInfo, "keepers_heard_again");
+    }
+  }
+
   SessionHandle FindNode(const std::string& node) const {
     for (const auto& [session, name] : keepers_) {
       if (name == node) {
@@ -139,12 +150,11 @@
       call->attempt_until_ms = loop_.now_ms() + init_.attempt_timeout_ms;
       by_correlation_[call->correlation] = call;
       const Status sent = hub_.Send(
-          session,
-          {.kind = FrameKind::KeeperRequest,
-           .group = kStateGroup,
-           .correlation = call->correlation,
-           .payload = EncodeKeeperRequest(static_cast<uint8_t>(call->op),
-                                          call->payload)});
+          session, {.kind = FrameKind::KeeperRequest,
+                    .group = kStateGroup,
+                    .correlation = call->correlation,
+                    .payload = EncodeKeeperRequest(
+                        static_cast<uint8_t>(call->op), call->payload)});
       if (sent) {
         return;
       }
@@ -174,7 +184,15 @@
   void Sweep() {
     const int64_t now_ms = loop_.now_ms();
     for (const CallPtr& call : std::vector<CallPtr>(calls_)) {
-      if (now_ms >= call->deadline_ms) {
+      const bool silent =
+          !isValid(call->fixed) &&
+          now_ms - std::max(call->start_ms, heard_ms_) > init_.silence_ms;
+      if (silent && !silent_) {
+        silent_ = true;
+        Event(LogLevel::kWarn, "keepers_silent")
+            .Add("heard_ms_ago", now_ms - heard_ms_);
+      }
+      if (silent || now_ms >= call->deadline_ms) {
         const bool unknown = call->may_take_effect || call->retry_at_ms == 0;
         End(call, Refusal{Reason::kNoQuorum,
                           unknown ? RunState::kUnknown : RunState::kNotRun,
@@ -208,6 +226,8 @@
   std::vector<CallPtr> calls_;
   std::unordered_map<uint64_t, CallPtr> by_correlation_;
   uint64_t next_correlation_ = 1;
+  int64_t heard_ms_ = 0;  ///< Last word of any keeper.
+  bool silent_ = false;
 };
 
 StateClient::StateClient(const Init& init, HubI& hub, EventLoop& loop)
@@ -263,8 +283,8 @@
   impl_->OnReply(session, node, correlation, payload);
 }
 
-bool StateClient::connected() const {
-  return impl_->connected();
+bool StateClient::reachable() const {
+  return impl_->reachable();
 }
 
 }  // namespace ring
--- a/src/net_http.cc
+++ b/src/net_http.cc
@@ -17,6 +17,15 @@
          });
 }
 
+bool IsToken(std::string_view text) {
+  constexpr std::string_view kOther = "!#$%&'*+-.^_`|~";
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [&](unsigned char c) {
+           return std::isalnum(c) != 0 || kOther.find(static_cast<char>(c)) !=
+                                              std::string_view::npos;
+         });
+}
+
 bool IsHopByHop(std::string_view name) {
   constexpr std::array<std::string_view, 9> kNames = {
       "connection", "keep-alive",        "proxy-connection",
@@ -144,6 +153,13 @@
 
   static int OnHeadersComplete(http_parser* parser) {
     Impl& self = Self(parser);
+    // The library lets names with spaces pass, which others may read as a
+    // framing header.
+    if (!std::all_of(
+            self.head_.headers.begin(), self.head_.headers.end(),
+            [](const HttpHeader& header) { return IsToken(header.name); })) {
+      return -1;
+    }
     self.head_done_ = true;
     if (self.kind_ == Kind::kRequest) {
       self.head_.method =
--- a/src/net_http_server.cc
+++ b/src/net_http_server.cc
@@ -17,8 +17,8 @@
 
 void AppendChunk(std::string& out, std::string_view bytes) {
   std::array<char, 20> size{};
-  const int length = snprintf(size.data(), size.size(), "%zx\r\n",
-                              bytes.size());
+  const int length =
+      snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
   out.append(size.data(), static_cast<size_t>(length));
   out.append(bytes);
   out.append("\r\n");
@@ -128,8 +128,8 @@
 void HttpServerConnection::WriteHead(int status,
                                      const std::vector<HttpHeader>& headers,
                                      std::optional<int64_t> length) {
-  std::string head = "HTTP/1.1 " + std::to_string(status) + " " +
-                     StatusText(status) + "\r\n";
+  std::string head =
+      "HTTP/1.1 " + std::to_string(status) + " " + StatusText(status) + "\r\n";
   for (const HttpHeader& header : headers) {
     head.append(header.name).append(": ").append(header.value).append("\r\n");
   }
@@ -154,8 +154,8 @@
 void HttpServerConnection::Respond(int status,
                                    const std::vector<HttpHeader>& headers,
                                    std::string_view body) {
-  std::string whole = "HTTP/1.1 " + std::to_string(status) + " " +
-                      StatusText(status) + "\r\n";
+  std::string whole =
+      "HTTP/1.1 " + std::to_string(status) + " " + StatusText(status) + "\r\n";
   for (const HttpHeader& header : headers) {
     whole.append(header.name).append(": ").append(header.value).append("\r\n");
   }
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -164,10 +164,9 @@
   const auto [it, added] =
       upstreams_.try_emplace(upstream.instance, Heard{upstream});
   Heard& known = it->second;
-  const bool older =
-      !added && (upstream.born_ms < known.upstream.born_ms ||
-                 (upstream.born_ms == known.upstream.born_ms &&
-                  upstream.sequence <= known.upstream.sequence));
+  const bool older = !added && (upstream.born_ms < known.upstream.born_ms ||
+                                (upstream.born_ms == known.upstream.born_ms &&
+                                 upstream.sequence <= known.upstream.sequence));
   if (older) {
     // A delayed message; what came later stands.
     return answer(Done{});
@@ -201,10 +200,9 @@
 // The log holds who was there, so that a ring that restarts whole can serve
 // before every upstream has announced itself again.
 void Registrar::Impl::Register(const UpstreamInstance& upstream) {
-  int64_t& registered_ms = registered_ms_[{upstream.instance,
-                                           upstream.born_ms}];
-  if (registered_ms != 0 &&
-      loop_.now_ms() - registered_ms < kRegisterAgainMs) {
+  int64_t& registered_ms =
+      registered_ms_[{upstream.instance, upstream.born_ms}];
+  if (registered_ms != 0 && loop_.now_ms() - registered_ms < kRegisterAgainMs) {
     return;
   }
   registered_ms = loop_.now_ms();
@@ -263,8 +261,7 @@
 }
 
 bool Registrar::Impl::IsDeparted(const UpstreamDeparture& departure) const {
-  const auto known =
-      departures_.find({departure.instance, departure.born_ms});
+  const auto known = departures_.find({departure.instance, departure.born_ms});
   return known != departures_.end() && (known->second || !departure.gone);
 }
 
@@ -305,9 +302,8 @@
   });
   constexpr int64_t kForgetPeriods = 100;
   std::erase_if(upstreams_, [&](const auto& item) {
-    return !item.second.heard &&
-           loop_.now_ms() - item.second.heard_ms >
-               init_.announce_period_ms * kForgetPeriods;
+    return !item.second.heard && loop_.now_ms() - item.second.heard_ms >
+                                     init_.announce_period_ms * kForgetPeriods;
   });
 }
 
@@ -394,8 +390,7 @@
   list.vm = init_.vm;
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(fb::CreateKeeperList(builder, &list));
-  const Frame frame{.kind = FrameKind::KeeperList,
-                    .payload = BytesOf(builder)};
+  const Frame frame{.kind = FrameKind::KeeperList, .payload = BytesOf(builder)};
   SendToEntries(frame, only);
   if (!only) {
     for (const auto& [session, node] : keepers_) {
@@ -462,9 +457,9 @@
 void Registrar::Impl::OnMembers(const LogConfig& config) {
   const auto self = EndpointOf(init_.node);
   for (const Member& before : members_.members) {
-    const bool stays = std::any_of(
-        config.members.begin(), config.members.end(),
-        [&](const Member& now) { return now.node == before.node; });
+    const bool stays =
+        std::any_of(config.members.begin(), config.members.end(),
+                    [&](const Member& now) { return now.node == before.node; });
     const auto endpoint = EndpointOf(before.node);
     if (!stays && endpoint && endpoint != self) {
       hub_->Disconnect(*endpoint);
@@ -525,8 +520,7 @@
       impl_->init().order_timeout_ms,
       [version, answer](const Outcome<fb::StateResultT>& outcome) {
         const bool held = outcome && (outcome->code == fb::StateCode::Done ||
-                                      outcome->code ==
-                                          fb::StateCode::Outdated);
+                                      outcome->code == fb::StateCode::Outdated);
         Event(LogLevel::kInfo, "configuration_ordered")
             .Add("version", version)
             .Add("held", outcome ? outcome->version : 0)
@@ -540,15 +534,15 @@
 }
 
 void Registrar::ReadConfiguration(const DocumentAnswer& answer) {
-  impl_->state().Query(
-      state_codec::EncodeQuery(true), impl_->init().order_timeout_ms,
-      [answer](const Outcome<fb::StateResultT>& outcome) {
-        if (!outcome || outcome->version == 0) {
-          answer(NotConfirmed(outcome));
-        } else {
-          answer(outcome->document);
-        }
-      });
+  impl_->state().Query(state_codec::EncodeQuery(true),
+                       impl_->init().order_timeout_ms,
+                       [answer](const Outcome<fb::StateResultT>& outcome) {
+                         if (!outcome || outcome->version == 0) {
+                           answer(NotConfirmed(outcome));
+                         } else {
+                           answer(outcome->document);
+                         }
+                       });
 }
 
 void Registrar::Retire(const std::string& vm, const Answer& answer) {
@@ -560,11 +554,11 @@
                           "no keeper is known on this VM"});
   }
   leaving.insert(AddressOfKeeper(ordered));
-  const auto left = static_cast<size_t>(std::count_if(
-      impl_->members().members.begin(), impl_->members().members.end(),
-      [&](const Member& member) {
-        return !leaving.contains(AddressOfKeeper(member.node));
-      }));
+  const auto left = static_cast<size_t>(
+      std::count_if(impl_->members().members.begin(),
+                    impl_->members().members.end(), [&](const Member& member) {
+                      return !leaving.contains(AddressOfKeeper(member.node));
+                    }));
   if (!repeated && left < impl_->init().min_members) {
     return answer(Refusal{Reason::kNotAllowed, RunState::kNotRun,
                           "too few keepers would be left"});
@@ -617,16 +611,15 @@
 
 void Registrar::OnLocalReply(const Frame& frame) {
   impl_->loop().Post([this, frame] {
-    impl_->state().OnReply(kLocalSession, impl_->init().node,
-                           frame.correlation, frame.payload);
+    impl_->state().OnReply(kLocalSession, impl_->init().node, frame.correlation,
+                           frame.payload);
   });
 }
 
 void Registrar::OnOpened(SessionHandle session, const PeerInfo& peer) {
   impl_->host()->OnOpened(session, peer);
-  impl_->loop().Post([this, session, node = peer.node] {
-    impl_->OnSession(session, node);
-  });
+  impl_->loop().Post(
+      [this, session, node = peer.node] { impl_->OnSession(session, node); });
 }
 
 void Registrar::OnFrame(SessionHandle session,
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -42,8 +42,7 @@
                                           std::string_view command) {
   now_ms_ = time_ms;
   const FlatView<fb::StateCommand> view(command);
-  return Pack(view ? Dispatch(*view.get())
-                   : Result(fb::StateCode::BadCommand));
+  return Pack(view ? Dispatch(*view.get()) : Result(fb::StateCode::BadCommand));
 }
 
 fb::StateResultT RingStateMachine::Impl::Dispatch(
@@ -76,8 +75,7 @@
     return Result(fb::StateCode::Outdated);
   }
   version_ = command.version();
-  document_ =
-      std::make_shared<const std::string>(TextFrom(command.document()));
+  document_ = std::make_shared<const std::string>(TextFrom(command.document()));
   if (observer_ != nullptr) {
     observer_->OnConfiguration(version_, document_);
   }
@@ -167,8 +165,7 @@
   std::reverse(result.chain.begin(), result.chain.end());
 }
 
-fb::StateResultT RingStateMachine::Impl::Finish(
-    const fb::FinishTurn& command) {
+fb::StateResultT RingStateMachine::Impl::Finish(const fb::FinishTurn& command) {
   const auto found = programs_.find(TextFrom(command.program()));
   if (found != programs_.end()) {
     Program& program = found->second;
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -71,11 +71,11 @@
   fb::RingStateSnapshotT snapshot;
   view->UnPackTo(&snapshot);
   version_ = snapshot.version;
-  document_ =
-      std::make_shared<const std::string>(std::move(snapshot.document));
+  document_ = std::make_shared<const std::string>(std::move(snapshot.document));
   for (const auto& row : snapshot.departures) {
     const UpstreamDeparture value{row->instance, row->born_ms, row->gone};
-    departures_[row->instance + "/" + std::to_string(row->born_ms)] = {value, 0};
+    departures_[row->instance + "/" + std::to_string(row->born_ms)] = {value,
+                                                                       0};
   }
   for (const auto& row : snapshot.upstreams) {
     registrations_[row->instance] = {*row, 0};
@@ -89,10 +89,10 @@
     }
   }
   for (auto& row : snapshot.turns) {
-    turns_[row->text->turn] = {
-        std::move(row->text->previous), std::move(row->text->input),
-        std::move(row->text->output), std::move(row->upstream),
-        row->expires_ms};
+    turns_[row->text->turn] = {std::move(row->text->previous),
+                               std::move(row->text->input),
+                               std::move(row->text->output),
+                               std::move(row->upstream), row->expires_ms};
   }
   retired_.insert(snapshot.retired.begin(), snapshot.retired.end());
   NotifyAll();
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -38,8 +38,8 @@
     ScriptedReply reply{{StreamHead(request)}};
     int64_t id = 0;
     for (const std::string& one : data) {
-      reply.pieces.push_back(Chunk("id: " + std::to_string(++id) +
-                                   "\ndata: " + one + "\n\n"));
+      reply.pieces.push_back(
+          Chunk("id: " + std::to_string(++id) + "\ndata: " + one + "\n\n"));
     }
     reply.pieces.push_back("0\r\n\r\n");
     return reply;
@@ -140,25 +140,53 @@
   EXPECT_EQ(upstreams_[0]->connections(), 2);
 }
 
+// Guards against a read that waits for a lost answer until its deadline.
+TEST_F(GatewayCallTest, ReadAtSilentUpstream_IsRepeatedAfterTheGoal) {
+  std::atomic<int> asked{0};
+  const auto silent_first = [&asked](const std::string& request) {
+    if (asked.fetch_add(1) == 0) {
+      return ScriptedReply{{}, Then::kStall};
+    }
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  };
+  ServeTool(silent_first);
+  ServeTool(silent_first);
+  ConfigureAll();
+  const int64_t start_ms = SystemClock().NowMs();
+  EXPECT_EQ(Get("/read/1", "Request-Id: r1").status(), 200);
+  const int64_t took_ms = SystemClock().NowMs() - start_ms;
+  EXPECT_GE(took_ms, 250);
+  EXPECT_LT(took_ms, 1'000);
+}
+
+// Guards against an order that is repeated because its upstream is slow.
+TEST_F(GatewayCallTest, OrderAtSilentUpstream_IsSentOnce) {
+  const auto stall = [](const std::string&) {
+    return ScriptedReply{{}, Then::kStall};
+  };
+  ServeTool(stall);
+  ServeTool(stall);
+  ConfigureAll();
+  EXPECT_EQ(
+      Post("/order/1", "Request-Id: r1, Deadline-Ms: 900", "pay").status(),
+      504);
+  EXPECT_EQ(Requests(), 1u);
+}
+
 // Guards against a request held past its time, and against work that goes on
 // for a caller who has left.
 TEST_F(GatewayCallTest, SilentUpstream_IsAnsweredAtTheDeadline) {
-  ServeTool([](const std::string&) {
-    return ScriptedReply{{}, Then::kStall};
-  });
+  ServeTool([](const std::string&) { return ScriptedReply{{}, Then::kStall}; });
   ConfigureAll();
   const int64_t start_ms = SystemClock().NowMs();
-  EXPECT_EQ(
-      Get("/read/1", "Request-Id: r1, Deadline-Ms: 300").status(), 504);
+  EXPECT_EQ(Get("/read/1", "Request-Id: r1, Deadline-Ms: 300").status(), 504);
   EXPECT_LT(SystemClock().NowMs() - start_ms, 800);
   WaitFor([this] { return upstreams_[0]->abandoned(); });
 }
 
 // Guards against upstreams that go on working for nobody.
 TEST_F(GatewayCallTest, CallerLeaves_UpstreamIsCancelled) {
-  ServeTool([](const std::string&) {
-    return ScriptedReply{{}, Then::kStall};
-  });
+  ServeTool([](const std::string&) { return ScriptedReply{{}, Then::kStall}; });
   ConfigureAll();
   const int fd = Connect();
   const std::string request =
@@ -216,8 +244,8 @@
   ConfigureAll();
   const CallerAnswer answer = Post("/turn/1", "Request-Id: t1", "in");
   EXPECT_FALSE(IsWhole(answer.text));
-  EXPECT_EQ(
-      Post("/turn/1", "Request-Id: t2, Previous-Turn: t1", "x").status(), 404);
+  EXPECT_EQ(Post("/turn/1", "Request-Id: t2, Previous-Turn: t1", "x").status(),
+            404);
 }
 
 // Guards against a program that spends more than its budget.
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -79,9 +79,8 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(100));
       return done.load();
     });
-    WaitFor([&] {
-      return Get("/probe/1", "Deadline-Ms: 500").status() != 503;
-    });
+    WaitFor(
+        [&] { return Get("/probe/1", "Deadline-Ms: 500").status() != 503; });
   }
 
   static std::string RouteOf(const std::string& prefix,
@@ -95,15 +94,15 @@
   }
 
   CallerAnswer Get(const std::string& target, const std::string& headers = "") {
-    return Send("GET " + target + " HTTP/1.1\r\nHost: h\r\n" +
-                Expand(headers) + "\r\n");
+    return Send("GET " + target + " HTTP/1.1\r\nHost: h\r\n" + Expand(headers) +
+                "\r\n");
   }
   CallerAnswer Post(const std::string& target,
                     const std::string& headers,
                     const std::string& body) {
-    return Send("POST " + target + " HTTP/1.1\r\nHost: h\r\n" +
-                Expand(headers) + "Content-Length: " +
-                std::to_string(body.size()) + "\r\n\r\n" + body);
+    return Send(
+        "POST " + target + " HTTP/1.1\r\nHost: h\r\n" + Expand(headers) +
+        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
   /// Sends bytes and reads until the answer is whole or the connection ends.
@@ -121,9 +120,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(listen_.port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address),
-                      sizeof(address)),
-              0);
+    EXPECT_EQ(
+        connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
     const timeval patience = {.tv_sec = kPatienceMs / 1'000, .tv_usec = 0};
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
     return fd;
@@ -225,8 +223,8 @@
     host.first_election_ticks = 2;
     host.replicas = {{kStateGroup, 1, {{1, node, true}}}};
     host.open_disk = [](const std::string&) {
-      return Outcome<std::unique_ptr<DiskI>>(std::make_unique<FakeDisk>(
-          std::make_shared<FakeDisk::Medium>()));
+      return Outcome<std::unique_ptr<DiskI>>(
+          std::make_unique<FakeDisk>(std::make_shared<FakeDisk::Medium>()));
     };
     host.create_machine = [this](const std::string&) {
       return std::make_unique<RingStateMachine>(RingStateMachine::Init{},
--- a/tests/gateway_tables_test.cc
+++ b/tests/gateway_tables_test.cc
@@ -23,10 +23,9 @@
 
 // Guards against a request that runs at the service of a shorter prefix.
 TEST(RouteTableMatch, SeveralPrefixes_LongestOfTheHostWins) {
-  const RouteTable table = TableOf({RouteAt("a.example", "/"),
-                                    RouteAt("a.example", "/x/"),
-                                    RouteAt("a.example", "/x/y/"),
-                                    RouteAt("b.example", "/z/")});
+  const RouteTable table =
+      TableOf({RouteAt("a.example", "/"), RouteAt("a.example", "/x/"),
+               RouteAt("a.example", "/x/y/"), RouteAt("b.example", "/z/")});
   EXPECT_EQ(table.Match("a.example", "/x/y/1")->path_prefix, "/x/y/");
   EXPECT_EQ(table.Match("A.Example:80", "/x/yy")->path_prefix, "/x/");
   EXPECT_EQ(table.Match("a.example", "/x")->path_prefix, "/");
@@ -47,7 +46,8 @@
   Route endless = RouteAt("a", "/");
   endless.timeout_ms = 0;
   EXPECT_FALSE(TableOf({endless}).Check().ok());
-  EXPECT_FALSE(TableOf({RouteAt("a", "/x/"), RouteAt("A", "/x/")}).Check().ok());
+  EXPECT_FALSE(
+      TableOf({RouteAt("a", "/x/"), RouteAt("A", "/x/")}).Check().ok());
 }
 
 class UpstreamTableTest : public testing::Test {
--- a/tests/keeper_membership_test.cc
+++ b/tests/keeper_membership_test.cc
@@ -14,9 +14,8 @@
                    bool voter,
                    uint64_t match = kCommitted,
                    int64_t silent = 0) {
-  return {{id, "keeper@10.0.0." + std::to_string(id) + ":7", voter},
-          match,
-          silent};
+  return {
+      {id, "keeper@10.0.0." + std::to_string(id) + ":7", voter}, match, silent};
 }
 
 class MembershipTest : public testing::Test {
@@ -126,5 +125,25 @@
   EXPECT_EQ(Plan().kind, Kind::kNone);
 }
 
+// Guards against commits that cross the link between regions twice.
+TEST(PreferredLeader, LeaderInTheSmallerRegion_MovesToTheLarger) {
+  const LeaderCandidate a{1, "west", true};
+  const LeaderCandidate b{2, "east", true};
+  const LeaderCandidate c{3, "east", true};
+  EXPECT_EQ(PreferredLeader(1, {a, b, c}), 2u);
+  EXPECT_EQ(PreferredLeader(2, {a, b, c}), 0u);
+  const LeaderCandidate late{2, "east", false};
+  EXPECT_EQ(PreferredLeader(1, {a, late, c}), 3u);
+}
+
+// Guards against a leadership that wanders between equal regions, or to a voter
+// of an unknown one.
+TEST(PreferredLeader, NoLargerRegion_LeaderStays) {
+  EXPECT_EQ(PreferredLeader(1, {{1, "west", true}, {2, "east", true}}), 0u);
+  EXPECT_EQ(
+      PreferredLeader(1, {{1, "west", true}, {2, "", true}, {3, "", true}}),
+      0u);
+}
+
 }  // namespace
 }  // namespace ring
--- a/tests/net_http_test.cc
+++ b/tests/net_http_test.cc
@@ -49,7 +49,8 @@
 // Guards against requests that are understood in two ways.
 TEST_F(HttpParserTest, AmbiguousFraming_IsAnError) {
   const char* bad[] = {
-      "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n",
       "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
       "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\n",
       "POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\n",
@@ -123,9 +124,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(endpoint_.port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address),
-                      sizeof(address)),
-              0);
+    EXPECT_EQ(
+        connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
     send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     std::string text;
     char buffer[1'024];
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -45,8 +45,7 @@
   EXPECT_EQ(turns->retention_ms, 60'000);
   EXPECT_EQ((*table)->FindService("s1")->engine->tokens_per_event, 8);
   const Route* split = (*table)->Match("h.example", "/b/1");
-  EXPECT_EQ(split->targets,
-            (std::vector<RouteTarget>{{"s1", 90}, {"s2", 10}}));
+  EXPECT_EQ(split->targets, (std::vector<RouteTarget>{{"s1", 90}, {"s2", 10}}));
   EXPECT_EQ((*table)->limits().header_timeout_ms, 3'000);
 }
 
@@ -90,23 +89,24 @@
 
 TEST(PlatformRequest, AllHeaders_AreDecoded) {
   const PlatformProtocol protocol;
-  const CallerRequest request = protocol.DecodeRequest(HeadOf(
-      {{"host", "h.example"},
-       {"Persimmonring-Request-Id", "id"},
-       {"Persimmonring-Deadline-Ms", "4000"},
-       {"Persimmonring-Program-Id", "p"},
-       {"Persimmonring-Token-Budget", "2304"},
-       {"Persimmonring-Token-Usage", "1840,288"},
-       {"Persimmonring-Previous-Turn", "before"},
-       {"Persimmonring-Prompt-Prefix", "5c:800,91:410,bad"},
-       {"Cookie", "a=b; Persimmonring-Affinity-Key=17"}}));
+  const CallerRequest request = protocol.DecodeRequest(
+      HeadOf({{"host", "h.example"},
+              {"Persimmonring-Request-Id", "id"},
+              {"Persimmonring-Deadline-Ms", "4000"},
+              {"Persimmonring-Program-Id", "p"},
+              {"Persimmonring-Token-Budget", "2304"},
+              {"Persimmonring-Token-Usage", "1840,288"},
+              {"Persimmonring-Previous-Turn", "before"},
+              {"Persimmonring-Prompt-Prefix", "5c:800,91:410,bad"},
+              {"Cookie", "a=b; Persimmonring-Affinity-Key=17"}}));
   EXPECT_EQ(request.path, "/a/1");
   EXPECT_EQ(request.wait_ms, 4'000);
   EXPECT_EQ(request.budget_tokens, 2'304);
   EXPECT_EQ(request.prompt_tokens, 1'840);
   EXPECT_EQ(request.max_output_tokens, 288);
   EXPECT_EQ(request.previous_turn, "before");
-  EXPECT_EQ(request.prompt, (std::vector<PromptPart>{{"5c", 800}, {"91", 410}}));
+  EXPECT_EQ(request.prompt,
+            (std::vector<PromptPart>{{"5c", 800}, {"91", 410}}));
   EXPECT_EQ(request.affinity, "17");
 }
 
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -40,8 +40,8 @@
 class RingStateTest : public testing::Test {
  protected:
   fb::StateResultT Apply(const std::string& command) {
-    auto result = state_codec::DecodeResult(
-        machine_.Apply(++index_, now_ms_, command));
+    auto result =
+        state_codec::DecodeResult(machine_.Apply(++index_, now_ms_, command));
     EXPECT_TRUE(result.ok());
     return *result;
   }
@@ -49,16 +49,16 @@
                       const std::string& previous,
                       int64_t budget = 1'000,
                       int64_t most = 100) {
-    last_ = Apply(
-        state_codec::EncodeBegin(BeginOf(turn, previous, budget, most)));
+    last_ =
+        Apply(state_codec::EncodeBegin(BeginOf(turn, previous, budget, most)));
     return last_.code;
   }
   void Finish(const std::string& turn,
               const std::string& previous,
               int64_t tokens = 10,
               bool complete = true) {
-    Apply(state_codec::EncodeFinish(
-        FinishOf(turn, previous, tokens, complete)));
+    Apply(
+        state_codec::EncodeFinish(FinishOf(turn, previous, tokens, complete)));
   }
   void KeepChain() {
     Begin("a", "");
@@ -231,9 +231,8 @@
   machine.Apply(3, 1, state_codec::EncodeDeparture({"i-1", 7, false}));
   machine.Apply(4, 1, state_codec::EncodeDeparture({"i-1", 7, true}));
   EXPECT_EQ(recorder.upstreams, std::vector<std::string>{"i-1"});
-  EXPECT_EQ(recorder.departures,
-            (std::vector<UpstreamDeparture>{{"i-1", 7, false},
-                                            {"i-1", 7, true}}));
+  EXPECT_EQ(recorder.departures, (std::vector<UpstreamDeparture>{
+                                     {"i-1", 7, false}, {"i-1", 7, true}}));
   // What is gone is not offered again after a restart.
   Recorder after;
   RingStateMachine copy({}, &after);
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,6 +9,7 @@
 fi
 clang-format --dry-run --Werror "${sources[@]}"
 echo "format: ${#sources[@]} files clean"
-printf '%s\n' "${sources[@]}" | grep '\.cc$' |
-  xargs -r -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
-echo "lint: clean"
+mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cc$')
+if [ "${#units[@]}" -gt 0 ]; then
+  tools/lint.py "${units[@]}"
+fi
--- a/tools/settings_page.sh
+++ b/tools/settings_page.sh
@@ -9,7 +9,7 @@
   echo "Made by tools/settings_page.sh from the tables that also read and check the files. JSON with"
   echo "comments; a dot in a key stands for a nested object. Unknown, missing, duplicate and"
   echo "out-of-range keys are errors, all reported in one go."
-  for binary in ringentry ringkeeper ringctl; do
+  for binary in ringentry ringkeeper ringctl platform_entry platform_keeper; do
     echo
     echo "## $binary"
     echo
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -5,5 +5,6 @@
 tools/build.sh
 tools/settings_page.sh --check
 tools/check_examples.sh
+tools/check_names.sh
 tools/lint.sh
 ctest --test-dir build --output-on-failure -j "$(( $(nproc) / 2 + 1 ))"
