--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -63,7 +63,8 @@
   /// and retired voters are replaced by learners. Only for groups that this
   /// holds for on each of their keepers.
   bool automatic_members = false;
-  size_t max_voters = SIZE_MAX;  ///< Further members stay learners.
+  size_t max_voters = SIZE_MAX;    ///< Further members stay learners.
+  size_t max_learners = SIZE_MAX;  ///< Further keepers hold no replica data.
   /// Tells keepers from entries by their node name. Empty: those in `keepers`.
   std::function<bool(const std::string& node)> is_keeper;
   /// Called on the thread of a group after its members have changed.
@@ -99,7 +100,8 @@
   std::vector<JoinRequest> joins;  ///< Heard a moment ago.
   std::set<std::string> retired;   ///< Addresses to be emptied.
   size_t max_voters = SIZE_MAX;
-  int64_t lost_ticks = 0;  ///< Silence after which one is lost.
+  size_t max_learners = SIZE_MAX;  ///< Each costs a copy of all data.
+  int64_t lost_ticks = 0;          ///< Silence after which one is lost.
 
   auto operator<=>(const MembershipInput&) const = default;
 };
--- a/src/keeper_group_members.cc
+++ b/src/keeper_group_members.cc
@@ -72,6 +72,7 @@
   input.commit_index = std::exchange(earlier_commit_, status.commit_index);
   input.members = status.members;
   input.max_voters = init_.max_voters;
+  input.max_learners = init_.max_learners;
   input.lost_ticks = kLostMs / init_.tick_ms;
   if (init_.retired_nodes) {
     input.retired = init_.retired_nodes();
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -62,6 +62,7 @@
     std::function<std::unique_ptr<StateMachineI>()> create_machine;
     bool automatic_members = false;
     size_t max_voters = SIZE_MAX;
+    size_t max_learners = SIZE_MAX;
     std::function<void(const std::string& group, const LogConfig& config)>
         on_members;
     std::function<std::set<std::string>()> retired_nodes;
--- a/src/keeper_host.cc
+++ b/src/keeper_host.cc
@@ -101,6 +101,7 @@
     group.snapshot_entries = init_.snapshot_entries;
     group.automatic_members = init_.automatic_members;
     group.max_voters = init_.max_voters;
+    group.max_learners = init_.max_learners;
     group.on_members = init_.on_members;
     group.retired_nodes = init_.retired_nodes;
     group.seed = init_.seed == 0 ? RandomSeed() : init_.seed + groups_.size();
--- a/src/keeper_membership.cc
+++ b/src/keeper_membership.cc
@@ -103,7 +103,11 @@
       return Remove(row.member, "the learner is lost or retired");
     }
   }
+  const size_t learners = input.members.size() - VoterCount(input);
   for (const JoinRequest& join : input.joins) {
+    if (learners >= input.max_learners) {
+      break;
+    }
     const bool member =
         std::any_of(input.members.begin(), input.members.end(),
                     [&](const auto& row) { return row.member.id == join.id; });
--- a/src/log_record.cc
+++ b/src/log_record.cc
@@ -82,14 +82,20 @@
 
 }  // namespace
 
-std::string EncodeRecord(std::string_view payload) {
-  std::string out;
-  out.reserve(kHeaderBytes + payload.size() + kMarkerBytes);
-  AppendNumber(out, static_cast<uint32_t>(payload.size()));
-  AppendNumber(out, LengthCheck(out));
+void AppendRecord(std::string& out, std::string_view payload) {
+  std::string size;
+  AppendNumber(size, static_cast<uint32_t>(payload.size()));
+  out += size;
+  AppendNumber(out, LengthCheck(size));
   AppendNumber(out, Checksum(payload));
   out += payload;
   out.push_back(kEndMarker);
+}
+
+std::string EncodeRecord(std::string_view payload) {
+  std::string out;
+  out.reserve(payload.size() + kRecordOverhead);
+  AppendRecord(out, payload);
   return out;
 }
 
--- a/src/log_record_p.h
+++ b/src/log_record_p.h
@@ -13,6 +13,10 @@
 /// uint32 payload length | uint32 check of the length | uint64 xxh3 of the
 /// payload | payload | end marker byte.
 std::string EncodeRecord(std::string_view payload);
+/// Appends a record to a file under construction.
+void AppendRecord(std::string& out, std::string_view payload);
+/// At least the bytes of a record besides its payload.
+constexpr size_t kRecordOverhead = 32;
 
 /// Records of a log file.
 struct RecordScan {
--- a/src/log_wal.cc
+++ b/src/log_wal.cc
@@ -171,8 +171,12 @@
 }  // namespace
 
 std::string EncodeSnapshotFile(const Snapshot& snapshot) {
-  return EncodeRecord(EncodeSnapshotMeta(snapshot.meta)) +
-         EncodeRecord(snapshot.data);
+  const std::string meta = EncodeSnapshotMeta(snapshot.meta);
+  std::string file;
+  file.reserve(meta.size() + snapshot.data.size() + 2 * kRecordOverhead);
+  AppendRecord(file, meta);
+  AppendRecord(file, snapshot.data);
+  return file;
 }
 
 Outcome<Snapshot> DecodeSnapshotFile(std::string_view bytes) {
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -383,6 +383,12 @@
       list.addresses.push_back(endpoint->ToString());
     }
   }
+  // Keepers without a replica hear announcements as well.
+  for (const auto& [session, node] : keepers_) {
+    if (const auto endpoint = EndpointOf(node)) {
+      list.addresses.push_back(endpoint->ToString());
+    }
+  }
   if (const auto self = EndpointOf(init_.node)) {
     list.addresses.push_back(self->ToString());
     list.self = self->ToString();
--- a/src/wire_session.cc
+++ b/src/wire_session.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr size_t kReadChunkBytes = 64u << 10;
+// Buffer that a session keeps between frames; a keeper may have hundreds.
+constexpr size_t kKeptInputBytes = 8u << 10;
 // Bounds one pass so that a fast peer does not starve the others.
 constexpr int kReadsPerPass = 16;
 constexpr size_t kFramesPerWrite = 32;
@@ -120,7 +122,7 @@
   }
   input_.erase(0, consumed_);
   consumed_ = 0;
-  if (input_.empty() && input_.capacity() > 4 * kReadChunkBytes) {
+  if (input_.empty() && input_.capacity() > kKeptInputBytes) {
     input_.shrink_to_fit();
   }
   return std::nullopt;
--- a/tests/keeper_membership_test.cc
+++ b/tests/keeper_membership_test.cc
@@ -118,6 +118,15 @@
   EXPECT_EQ(Plan().id, 4u);
 }
 
+// Guards against a copy of all data at each of many keepers.
+TEST_F(MembershipTest, EnoughLearners_NoFurtherKeeperIsAdded) {
+  input_.max_learners = 1;
+  input_.joins = {{7, "keeper@10.0.0.7:7"}};
+  EXPECT_EQ(Plan().kind, Kind::kAdd);
+  input_.members.push_back(Row(4, false));
+  EXPECT_EQ(Plan().kind, Kind::kNone);
+}
+
 // Guards against a leader that counts itself as silent.
 TEST_F(MembershipTest, LeaderItself_IsNeverLost) {
   input_.members[0] = Row(1, true, kCommitted, kLostTicks + 1);
