--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -275,6 +275,7 @@
   int64_t drain_notice_ms = 2'500;  ///< Until the balancer has noticed a stop.
   int64_t grace_ms = 8'000;         ///< From the stop request to the kill.
   size_t chain_cache_bytes = 16u << 20;
+  size_t max_buffered_bytes = 32u << 20;  ///< Bodies of callers' requests.
 };
 
 /// The data path. Its duties are the loop and the hub's network thread.
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -290,6 +290,8 @@
 struct HttpServerLimits {
   size_t max_header_bytes = 16u << 10;
   size_t max_body_bytes = 4u << 20;
+  /// Bodies of all requests under way together; more are refused with 503.
+  size_t max_buffered_bytes = 64u << 20;
   int64_t header_timeout_ms =
       3'000;                         ///< From the first byte to the body's end.
   int64_t idle_timeout_ms = 15'000;  ///< Between requests.
@@ -354,6 +356,7 @@
   friend class HttpServer;
   void Consume();
   void RefuseInput(int status);
+  void ReleaseBody();
   void WriteHead(int status,
                  const std::vector<HttpHeader>& headers,
                  std::optional<int64_t> length);
@@ -374,6 +377,8 @@
   bool keep_alive_ = true;
   bool chunked_ = false;
   bool too_large_ = false;
+  bool overloaded_ = false;
+  size_t counted_bytes_ = 0;  ///< Of the body, counted by the server.
   bool destroyed_ = false;
 };
 
@@ -407,6 +412,7 @@
   HttpServerHandlerI& handler_;
   HttpServerLimits limits_;
   bool keep_alive_ = true;
+  size_t buffered_bytes_ = 0;
   std::unique_ptr<TcpListener> listener_;
   std::unordered_map<HttpServerConnection*,
                      std::unique_ptr<HttpServerConnection>>
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -232,7 +232,9 @@
     return;
   }
   table_ = *parsed;
-  server_->SetLimits(table_->limits());
+  HttpServerLimits limits = table_->limits();
+  limits.max_buffered_bytes = init_.max_buffered_bytes;
+  server_->SetLimits(limits);
   Event(LogLevel::kInfo, "configuration_installed")
       .Add("version", table_->version())
       .Add("before", held)
--- a/src/keeper_state_client.cc
+++ b/src/keeper_state_client.cc
@@ -34,7 +34,7 @@
   };
   using CallPtr = std::shared_ptr<Call>;
 
-  void Start(CallPtr call) {
+  void Start(const CallPtr& call) {
     call->start_ms = loop_.now_ms();
     calls_.push_back(call);
     Attempt(call);
@@ -242,7 +242,7 @@
   call->payload = command;
   call->deadline_ms = SystemClock().NowMs() + timeout_ms;
   call->callback = std::move(callback);
-  impl_->Start(std::move(call));
+  impl_->Start(call);
 }
 
 void StateClient::QueryLocal(SessionHandle session,
@@ -255,7 +255,7 @@
   call->fixed = session;
   call->deadline_ms = SystemClock().NowMs() + timeout_ms;
   call->callback = std::move(callback);
-  impl_->Start(std::move(call));
+  impl_->Start(call);
 }
 
 void StateClient::Query(const std::string& query,
@@ -266,7 +266,7 @@
   call->payload = query;
   call->deadline_ms = SystemClock().NowMs() + timeout_ms;
   call->callback = std::move(callback);
-  impl_->Start(std::move(call));
+  impl_->Start(call);
 }
 
 void StateClient::OnOpened(SessionHandle session, const std::string& node) {
--- a/src/net_http.cc
+++ b/src/net_http.cc
@@ -21,19 +21,17 @@
   constexpr std::string_view kOther = "!#$%&'*+-.^_`|~";
   return !text.empty() &&
          std::all_of(text.begin(), text.end(), [&](unsigned char c) {
-           return std::isalnum(c) != 0 || kOther.find(static_cast<char>(c)) !=
-                                              std::string_view::npos;
+           return std::isalnum(c) != 0 ||
+                  kOther.find(static_cast<char>(c)) != std::string_view::npos;
          });
 }
 
 bool IsHopByHop(std::string_view name) {
   constexpr std::array<std::string_view, 9> kNames = {
-      "connection", "keep-alive",        "proxy-connection",
-      "te",         "trailer",           "transfer-encoding",
-      "upgrade",    "content-length",    "expect"};
-  return std::any_of(kNames.begin(), kNames.end(), [name](auto hop) {
-    return EqualsIgnoreCase(name, hop);
-  });
+      "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
+      "transfer-encoding", "upgrade",    "content-length",   "expect"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [name](auto hop) { return EqualsIgnoreCase(name, hop); });
 }
 
 std::optional<int64_t> ParseNumber(std::string_view text) {
@@ -95,8 +93,8 @@
       header_bytes_ += bytes.size();
     }
     started_ = started_ || !bytes.empty();
-    const size_t consumed = http_parser_execute(&parser_, &Callbacks(),
-                                                bytes.data(), bytes.size());
+    const size_t consumed =
+        http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
     return {Conclude(), consumed};
   }
 
--- a/src/net_http_server.cc
+++ b/src/net_http_server.cc
@@ -10,8 +10,11 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+// Seconds; bodies are held for about a turn, some hundred milliseconds.
+constexpr char kOverloadRetryAfter[] = "0.5";
 // Bytes of later requests that are kept while one is under way.
 constexpr size_t kMaxPipelined = 64u << 10;
 
@@ -77,11 +80,18 @@
   while (!busy_ && !destroyed_ && !input_.empty()) {
     const bool was_started = parser_.started();
     const HttpParser::Result result = parser_.Feed(input_);
-    if (result.state == HttpParser::State::kError || too_large_) {
-      const bool too_many = parser_.headers_too_large();
+    if (result.state == HttpParser::State::kError || too_large_ ||
+        overloaded_) {
+      int status = kBadRequest;
+      if (overloaded_) {
+        status = kUnavailable;
+      } else if (too_large_) {
+        status = kBodyTooLarge;
+      } else if (parser_.headers_too_large()) {
+        status = kHeadersTooLarge;
+      }
       input_.clear();
-      RefuseInput(too_large_ ? kBodyTooLarge
-                             : (too_many ? kHeadersTooLarge : kBadRequest));
+      RefuseInput(status);
       break;
     }
     input_.erase(0, result.consumed);
@@ -109,6 +119,12 @@
     too_large_ = true;
     return;
   }
+  counted_bytes_ += bytes.size();
+  server_.buffered_bytes_ += bytes.size();
+  if (server_.buffered_bytes_ > server_.limits().max_buffered_bytes) {
+    overloaded_ = true;
+    return;
+  }
   request_.body.append(bytes);
 }
 
@@ -116,13 +132,21 @@
   complete_ = true;
 }
 
+void HttpServerConnection::ReleaseBody() {
+  server_.buffered_bytes_ -= std::exchange(counted_bytes_, 0);
+}
+
 void HttpServerConnection::RefuseInput(int status) {
   metrics::Count("ring_http_refused_inputs_total",
                  {{"status", std::to_string(status)}});
   Event(LogLevel::kInfo, "request_unreadable").Add("status", status);
   busy_ = true;
   keep_alive_ = false;
-  Respond(status, {}, "");
+  std::vector<HttpHeader> headers;
+  if (status == kUnavailable) {
+    headers.push_back({"Retry-After", kOverloadRetryAfter});
+  }
+  Respond(status, headers, "");
 }
 
 void HttpServerConnection::WriteHead(int status,
@@ -207,6 +231,7 @@
 
 void HttpServerConnection::FinishExchange() {
   busy_ = false;
+  ReleaseBody();
   if (!keep_alive_) {
     // Destroyed once everything is written, or by the timer.
     connection_.CloseAfterWrite();
@@ -248,6 +273,7 @@
 void HttpServerConnection::Destroy() {
   if (!destroyed_) {
     destroyed_ = true;
+    ReleaseBody();
     timer_.Stop();
     connection_.Close();
     loop_.Defer([server = &server_, this] { server->Remove(this); });
--- a/src/net_tcp.cc
+++ b/src/net_tcp.cc
@@ -264,8 +264,7 @@
 
 void TcpListener::OnIo(uint32_t /*events*/) {
   while (fd_ >= 0) {
-    const int fd =
-        accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
       return;
     }
--- a/tests/net_http_test.cc
+++ b/tests/net_http_test.cc
@@ -48,16 +48,16 @@
 
 // Guards against requests that are understood in two ways.
 TEST_F(HttpParserTest, AmbiguousFraming_IsAnError) {
-  const char* bad[] = {
-      "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
-      "chunked\r\n\r\n",
-      "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
-      "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\n",
-      "POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\n",
-      "POST / HTTP/1.1\r\nBad Name: 3\r\n\r\n",
+  const std::string post = "POST / HTTP/1.1\r\n";
+  const std::string bad[] = {
+      post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+      post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\n",
+      post + "Content-Length: 3x\r\n\r\n",
+      post + "Content-Length: -3\r\n\r\n",
+      post + "Bad Name: 3\r\n\r\n",
       "NOTHTTP\r\n\r\n",
   };
-  for (const char* bytes : bad) {
+  for (const std::string& bytes : bad) {
     EXPECT_EQ(Request(bytes), State::kError) << bytes;
   }
 }
@@ -167,7 +167,19 @@
   EXPECT_TRUE(Exchange("GET / HTTP/1.1\r\nHalf").starts_with("HTTP/1.1 408 "));
   EXPECT_TRUE(Exchange("\x01\x02\x03\r\n\r\n").starts_with("HTTP/1.1 400 "));
   EXPECT_EQ(Exchange(""), "");
+  // Guards against many bodies, each permitted, that together fill the memory.
+  loop_.Post([this] {
+    server_->SetLimits({.max_body_bytes = 1'000, .max_buffered_bytes = 20});
+  });
+  EXPECT_TRUE(Exchange("POST / HTTP/1.1\r\nContent-Length: 21\r\n\r\n" +
+                       std::string(21, 'x'))
+                  .starts_with("HTTP/1.1 503 "));
   EXPECT_EQ(handler_.requests_.load(), 0);
+  // What was refused counts no longer.
+  EXPECT_TRUE(Exchange("POST / HTTP/1.1\r\nConnection: close\r\n"
+                       "Content-Length: 20\r\n\r\n" +
+                       std::string(20, 'x'))
+                  .starts_with("HTTP/1.1 200 "));
 }
 
 // Guards against timers that fire twice, never, or after their owner is gone.
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -31,7 +31,7 @@
     EXPECT_NE(at, std::string::npos);
     return text.replace(at, from.size(), to);
   }
-  const PlatformProtocol protocol_;
+  PlatformProtocol protocol_;
 };
 
 TEST_F(PlatformConfiguration, WholeDocument_IsDecoded) {
