--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -274,5 +274,30 @@
   ASSERT_TRUE(cluster.TickUntil([&] { return cluster.Applied(wiped, "a"); }));
 }
 
+// Guards against a ring that waits a whole election timeout after all of its
+// replicas have started: nobody can have a leader then.
+TEST(ReplicaFirstElection, AllHaveJustStarted_CampaignsAfterTheShortTime) {
+  constexpr int32_t kFirstTicks = 3;
+  DurableState state;
+  state.snapshot.index = 1;
+  state.snapshot.term = 1;
+  state.snapshot.config.members = {{1, "a", true}, {2, "b", true}};
+  state.hard_state.term = 1;
+  state.start_index = 1;
+  state.start_term = 1;
+  Replica replica({.id = 1,
+                   .election_ticks = 20,
+                   .first_election_ticks = kFirstTicks,
+                   .seed = 5},
+                  state);
+  for (int tick = 0; tick <= 2 * kFirstTicks; ++tick) {
+    replica.Tick(1'000);
+  }
+  ASSERT_TRUE(replica.HasReady());
+  const Ready ready = replica.TakeReady();
+  ASSERT_EQ(ready.messages.size(), 1u);
+  EXPECT_EQ(ready.messages[0].kind, RaftKind::kPreVote);
+}
+
 }  // namespace
 }  // namespace ring
--- a/tests/log_wal_test.cc
+++ b/tests/log_wal_test.cc
@@ -44,6 +44,20 @@
   FakeDisk disk_{medium_};
 };
 
+// Guards against a keeper that takes its own data for another replica's and
+// joins under a new id: ids use all 64 bits.
+TEST(WalIdentityTest, LargestId_IsReadBackUnchanged) {
+  FakeDisk disk(std::make_shared<FakeDisk::Medium>());
+  const auto none = Wal::ReadIdentity(disk);
+  ASSERT_TRUE(none.ok());
+  EXPECT_FALSE(none->has_value());
+  const WalIdentity identity = {"r", "g", UINT64_MAX};
+  ASSERT_TRUE(Wal::Initialize(disk, identity, {}).ok());
+  const auto read = Wal::ReadIdentity(disk);
+  ASSERT_TRUE(read.ok());
+  EXPECT_EQ(*read, std::optional<WalIdentity>(identity));
+}
+
 TEST_F(WalTest, ReopenAfterAppends_ReturnsStateAndEntries) {
   WriteThree();
   const auto wal = Open();
--- a/tests/runtime_threads_test.cc
+++ b/tests/runtime_threads_test.cc
@@ -1,3 +1,5 @@
+#include <csignal>
+
 #include <gtest/gtest.h>
 
 #include "fakes/fake_clock.h"
@@ -68,5 +70,14 @@
   EXPECT_EQ(metrics::Value("ring_refusals_total", labels), before + 1);
 }
 
+// Guards against a process that a reload signal ends.
+TEST(BlockStopSignals, ReloadSignal_EndsNothingAndIsNoStop) {
+  BlockStopSignals();
+  ASSERT_EQ(raise(SIGHUP), 0);
+  EXPECT_FALSE(WaitStopSignal(10));
+  ASSERT_EQ(raise(SIGTERM), 0);
+  EXPECT_TRUE(WaitStopSignal(1'000));
+}
+
 }  // namespace
 }  // namespace ring
