Refuse at a stopping entry what would outlive it

Ruled out: idle connections closed too early (the cut requests were under way). Change: a request whose time ends after the process is refused at once, not run, to be sent elsewhere; the process ends as soon as nothing is under way.

--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -31,6 +31,8 @@
 constexpr size_t kMaxUnsent = 64u << 10;
 // When a caller may come back after a refusal that asks for patience.
 constexpr int64_t kRetryAfterMs = 300;
+// Another entry can take the request at once.
+constexpr int64_t kDrainRetryAfterMs = 20;
 constexpr int64_t kMsPerSecond = 1'000;
 
 int StatusOf(const Refusal& refusal) {
@@ -151,6 +153,11 @@
     return Refuse(
         {Reason::kDeadlinePassed, RunState::kNotRun, "no time is left", 0});
   }
+  if (!gateway_.LastsFor(wait_ms)) {
+    return Refuse({Reason::kDraining, RunState::kNotRun,
+                   "this entry stops before the request's time is over",
+                   kDrainRetryAfterMs});
+  }
   deadline_timer_.Start(wait_ms, [this] { OnDeadline(); });
   ChooseService();
   if (route_->keeps_turns) {
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -110,6 +110,11 @@
   return loop_.now_ms() < news_until_ms_;
 }
 
+bool Gateway::Impl::LastsFor(int64_t wait_ms) const {
+  return !draining_ || loop_.now_ms() + wait_ms <=
+                           drain_started_ms_ + init_.grace_ms - kGraceMarginMs;
+}
+
 void Gateway::Impl::ResumeWaiting() {
   for (GatewayCall* call : std::exchange(waiting_, {})) {
     call->Resume();
@@ -364,8 +369,8 @@
     return;
   }
   server_->CloseIdle();
-  const bool empty = server_->connections() == 0 && calls_.empty();
-  if ((empty || since_ms > init_.grace_ms - kGraceMarginMs) && drained_) {
+  if ((calls_.empty() || since_ms > init_.grace_ms - kGraceMarginMs) &&
+      drained_) {
     Event(LogLevel::kInfo, "drained")
         .Add("requests_left", uint64_t{calls_.size()})
         .Add("took_ms", since_ms);
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -63,6 +63,9 @@
   void StopWaiting(GatewayCall* call) { waiting_.erase(call); }
   /// @returns true while what is known may still be incomplete
   bool starting() const;
+  /// @returns false if this process may end before a request that waits so
+  ///          long has its answer
+  bool LastsFor(int64_t wait_ms) const;
 
   const GatewayInit& init() const { return init_; }
   const CallerProtocolI& protocol() const { return protocol_; }
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -296,5 +296,30 @@
   close(fd);
 }
 
+class GatewayShortGraceTest : public GatewayTest {
+ protected:
+  // Less than the two seconds that a request of the route may take.
+  GatewayShortGraceTest() : GatewayTest(1'500) {}
+};
+
+// Guards against a request that a stopping entry takes and then cuts off: a
+// balancer may send new connections to the end (zvmfw-ring, mix, seed
+// 953963111199).
+TEST_F(GatewayShortGraceTest, RequestOutlivesTheEntry_IsRefusedNotRun) {
+  ScriptedUpstream upstream([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  });
+  Announce("i-1", "tool", upstream.endpoint());
+  Configure(1, RouteOf("read", "safe", "tool"));
+  EXPECT_EQ(Get("/read/1", "Request-Id: r1").status(), 200);
+  entry_loop_.Post([this] { gateway_->Drain([] {}); });
+  WaitFor([this] { return Get("/read/1", "Request-Id: r2").status() == 503; });
+  const CallerAnswer refused = Get("/read/1", "Request-Id: r3");
+  EXPECT_NE(refused.text.find("Retry-After"), std::string::npos);
+  EXPECT_NE(refused.text.find("Connection: close"), std::string::npos);
+  // What ends in time is still served.
+  EXPECT_EQ(Get("/read/1", "Request-Id: r4, Deadline-Ms: 200").status(), 200);
+}
+
 }  // namespace
 }  // namespace ring
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -32,8 +32,10 @@
  protected:
   static constexpr int64_t kPatienceMs = 5'000;
 
-  GatewayTest()
-      : wire_{"127.0.0.1", fakes::FreePort()},
+  /// @param grace_ms time from a stop to the end of the entry
+  explicit GatewayTest(int64_t grace_ms = 8'000)
+      : grace_ms_(grace_ms),
+        wire_{"127.0.0.1", fakes::FreePort()},
         listen_{"127.0.0.1", fakes::FreePort()},
         ready_{"127.0.0.1", fakes::FreePort()} {
     StartKeeper();
@@ -262,6 +264,7 @@
     init.listen = listen_;
     init.ready_listen = ready_;
     init.keepers = {wire_};
+    init.grace_ms = grace_ms_;
     gateway_ = std::make_unique<Gateway>(init, protocol_, entry_loop_);
     auto hub = Hub::Create({.ring = "test",
                             .node = "entry",
@@ -287,6 +290,7 @@
   }
 
  protected:
+  const int64_t grace_ms_;
   const platform::PlatformProtocol protocol_;
   const Endpoint wire_;
   const Endpoint listen_;
