Key the linter's cache by paths relative to the checkout

Cause: header paths were sorted before the folder of the checkout was taken off, so that two checkouts digested the same headers in different orders and shared nothing. Ruled out: compile commands and versions; both were equal. Change: paths are made relative, then sorted.

--- a/tools/lint.py
+++ b/tools/lint.py
@@ -37,9 +37,10 @@
 def digest(source, command, headers, common):
     total = hashlib.sha256(common)
     total.update(command.replace(str(ROOT), "").encode())
-    for name in [str(source)] + sorted(headers):
-        path = (ROOT / "build" / name).resolve()
-        total.update(str(path).replace(str(ROOT), "").encode())
+    # Paths are sorted without the folder of the checkout, so that all checkouts share the cache.
+    paths = [(ROOT / "build" / name).resolve() for name in [str(source), *headers]]
+    for name, path in sorted((str(path).removeprefix(str(ROOT)), path) for path in paths):
+        total.update(name.encode())
         total.update(hashlib.sha256(path.read_bytes()).digest())
     return total.hexdigest()
 
