Reconnect at an even pace for the first seconds

Cause: after a loss of all processes entries opened their first session to a keeper 0.35-0.5 s after the leader was elected: the delay between attempts had doubled while the keepers read their logs. Ruled out: the election (0.1 s after the second log is open) and the apply of the log (0.06 s), from the log lines of that second. Change: the delay grows only once a peer has been away for 3 s; a connection request without an answer is repeated after 0.5 s, not after the silence limit.

--- a/include/persimmonring/wire.h
+++ b/include/persimmonring/wire.h
@@ -104,7 +104,13 @@
     /// A Ping is sent when nothing else was sent for this time.
     int64_t ping_period_ms = 500;
     int64_t silence_limit_ms = 2'000;
-    int64_t reconnect_delay_ms = 200;    ///< Grows to five times this.
+    /// A connection request without an answer is repeated after this time; TCP
+    /// alone would repeat it after 1 s.
+    int64_t connect_limit_ms = 500;
+    int64_t reconnect_delay_ms = 200;
+    /// For this time after the loss of a peer the delay stays as it is, because
+    /// a restarted peer is back within seconds; then it grows to five times.
+    int64_t eager_reconnect_ms = 3'000;
     size_t max_queue_bytes = 32u << 20;  ///< For each session.
     size_t max_sessions = 1'024;
   };
--- a/src/wire_hub_loop.cc
+++ b/src/wire_hub_loop.cc
@@ -130,7 +130,7 @@
     std::lock_guard lock(mutex_);
     auto& target = targets_[endpoint];
     if (!session) {
-      target.retry_at_ms = now() + init_.reconnect_delay_ms;
+      ScheduleReconnect(target);
       continue;
     }
     session->connecting = true;
@@ -244,6 +244,7 @@
       auto& target = targets_[*session->target];
       target.open = true;
       target.delay_ms = 0;
+      target.away_since_ms = 0;
     }
   }
   open_sessions_.fetch_add(1);
@@ -315,7 +316,9 @@
     // A peer must identify itself within the limit, whatever else it sends.
     const int64_t heard =
         session->open ? session->last_received_ms : session->created_ms;
-    if (now() - heard >= init_.silence_limit_ms) {
+    const int64_t limit_ms =
+        session->connecting ? init_.connect_limit_ms : init_.silence_limit_ms;
+    if (now() - heard >= limit_ms) {
       Close(session, session->connecting ? Reason::kUpstreamRefused
                                          : Reason::kUpstreamTimeout);
     } else if (session->open &&
@@ -326,6 +329,18 @@
   }
 }
 
+void Hub::Impl::ScheduleReconnect(Target& target) const {
+  if (target.away_since_ms == 0) {
+    target.away_since_ms = now();
+  }
+  const bool eager = now() - target.away_since_ms < init_.eager_reconnect_ms;
+  target.delay_ms =
+      eager ? init_.reconnect_delay_ms
+            : std::min(target.delay_ms * 2,
+                       init_.reconnect_delay_ms * kMaxReconnectFactor);
+  target.retry_at_ms = now() + target.delay_ms;
+}
+
 void Hub::Impl::Close(const SessionPtr& session, Reason reason) {
   bool was_open = false;
   {
@@ -348,10 +363,7 @@
       auto& state = target->second;
       state.session = 0;
       state.open = false;
-      state.delay_ms =
-          std::clamp(state.delay_ms * 2, init_.reconnect_delay_ms,
-                     init_.reconnect_delay_ms * kMaxReconnectFactor);
-      state.retry_at_ms = now() + state.delay_ms;
+      ScheduleReconnect(state);
     }
   }
   epoll_ctl(epoll_fd_, EPOLL_CTL_DEL, session->fd, nullptr);
--- a/src/wire_hub_p.h
+++ b/src/wire_hub_p.h
@@ -51,12 +51,14 @@
     bool is_self = false;
     int64_t retry_at_ms = 0;
     int64_t delay_ms = 0;
+    int64_t away_since_ms = 0;  // First failure since the last open session.
   };
 
   SessionPtr Find(uint64_t handle) const;
   SessionPtr AddSession(int fd, std::optional<Endpoint> target);
   void AcceptAll();
   void StartConnects();
+  void ScheduleReconnect(Target& target) const;
   void OnReady(const SessionPtr& session, uint32_t events);
   void ReadFrames(const SessionPtr& session);
   void OnSessionFrame(const SessionPtr& session, const Frame& frame);
--- a/tests/wire_hub_test.cc
+++ b/tests/wire_hub_test.cc
@@ -121,6 +121,18 @@
   return fd;
 }
 
+int ListenRaw(const Endpoint& endpoint) {
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+            0);
+  EXPECT_EQ(listen(fd, 16), 0);
+  return fd;
+}
+
 // @returns true if the other side closes the connection
 bool WaitEof(int fd) {
   timeval limit = {.tv_sec = 5, .tv_usec = 0};
@@ -185,6 +197,48 @@
   EXPECT_EQ(a.events.closed().back(), Reason::kCancelled);
 }
 
+// Guards against entries that find a restarted keeper half a second late: the
+// delay between attempts had grown while the keeper read its log.
+TEST(WireHubConnect, PeerAwayForASecond_IsTriedAtAnEvenPace) {
+  auto init = InitOf("a");
+  init.reconnect_delay_ms = 100;
+  Node a(init);
+  const Endpoint address = {.ip = "127.0.0.1", .port = FreePort()};
+  const int listener = ListenRaw(address);
+  const int64_t start_ms = SystemClock().NowMs();
+  a.hub->Connect(address);
+  constexpr int kAttempts = 8;
+  for (int i = 0; i < kAttempts; ++i) {
+    const int fd = accept(listener, nullptr, nullptr);
+    ASSERT_GE(fd, 0);
+    close(fd);
+  }
+  close(listener);
+  // Doubled delays add up to 2,700 ms.
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 2'000);
+}
+
+// Guards against a peer that is tried for ever at the pace of a restart.
+TEST(WireHubConnect, PeerAwayForLong_IsTriedLessOften) {
+  auto init = InitOf("a");
+  init.reconnect_delay_ms = 20;
+  init.eager_reconnect_ms = 200;
+  Node a(init);
+  const Endpoint address = {.ip = "127.0.0.1", .port = FreePort()};
+  const int listener = ListenRaw(address);
+  a.hub->Connect(address);
+  const int64_t end_ms = SystemClock().NowMs() + 1'500;
+  int attempts = 0;
+  while (SystemClock().NowMs() < end_ms) {
+    const int fd = accept(listener, nullptr, nullptr);
+    ASSERT_GE(fd, 0);
+    close(fd);
+    ++attempts;
+  }
+  close(listener);
+  EXPECT_LT(attempts, 30);
+}
+
 // Guards against idle sessions that are closed and silent ones that are kept.
 TEST(WireHubSilence, OnlySilentPeer_IsClosedAsTimeout) {
   Node a(InitOf("a"));
