--- a/fakes/fake_disk.h
+++ b/fakes/fake_disk.h
@@ -134,6 +134,15 @@
     return Done{};
   }
 
+  Status Rename(const std::string& from, const std::string& to) override {
+    if (Fails()) {
+      return Failure();
+    }
+    medium_->files[to] = std::move(medium_->files[from]);
+    medium_->files.erase(from);
+    return Done{};
+  }
+
   Status Remove(const std::string& name) override {
     if (Fails()) {
       return Failure();
--- a/include/persimmonring/core.h
+++ b/include/persimmonring/core.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -195,6 +196,22 @@
 /// xxHash3 64 of a byte range. Used for checksums, not for identity.
 uint64_t Checksum(std::string_view bytes);
 
+/// Checksum of bytes that become known in parts; equal to that of the whole.
+class RunningChecksum {
+ public:
+  RunningChecksum();
+  ~RunningChecksum();
+  RunningChecksum(const RunningChecksum&) = delete;
+  RunningChecksum& operator=(const RunningChecksum&) = delete;
+
+  void Add(std::string_view bytes);
+  uint64_t value() const;
+
+ private:
+  class State;
+  std::unique_ptr<State> state_;
+};
+
 /// @returns n random bytes from the system's generator as hex digits.
 std::string RandomHex(size_t bytes);
 
--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -31,11 +31,14 @@
   virtual Status Sync(const std::string& name) = 0;
   /// Replaces a file durably and atomically (write, sync, rename, sync folder).
   virtual Status Replace(const std::string& name, std::string_view bytes) = 0;
-  /// Writes bytes at the offset, ends the file after them and makes it durable.
-  /// Bytes that are durable already survive a power cut in between.
+  /// Writes bytes at the offset, ends the file after them and makes its
+  /// contents durable; the name of a new file only with Rename. Bytes that are
+  /// durable already survive a power cut in between.
   virtual Status RewriteTail(const std::string& name,
                              uint64_t offset,
                              std::string_view bytes) = 0;
+  /// Gives a durable file another name, durably and atomically.
+  virtual Status Rename(const std::string& from, const std::string& to) = 0;
   virtual Status Remove(const std::string& name) = 0;
 };
 
@@ -109,6 +112,17 @@
 
 // --------------------------------------------------------------- state machine
 
+/// State of a machine at one index, written piece by piece while the machine
+/// goes on. Used by the thread of the machine.
+class StateImageI {
+ public:
+  virtual ~StateImageI() = default;
+  /// Appends the next piece.
+  /// @param bytes size that the piece should have
+  /// @returns false if this was the last piece
+  virtual bool Append(size_t bytes, std::string& out) = 0;
+};
+
 /// Deterministic state behind a log. Called by one thread.
 class StateMachineI {
  public:
@@ -122,6 +136,9 @@
   /// Answers a read at the applied state.
   virtual std::string Query(std::string_view query) const = 0;
   virtual std::string Save() const = 0;
+  /// @returns the bytes of Save, to be written while commands are applied. The
+  ///          default saves at once.
+  virtual std::unique_ptr<StateImageI> Freeze() const;
   /// @returns corrupt_data if the snapshot cannot be decoded
   virtual Status Load(std::string_view snapshot) = 0;
   /// @returns a command that the leader proposes once a second, to expire old
@@ -184,10 +201,14 @@
   const DurableState& recovered() const { return recovered_; }
   /// Frees the recovered entries once the replica has taken them.
   void DropRecovered() { recovered_ = {}; }
+  /// Hands out the snapshot that Open read, once.
+  std::string TakeRecoveredState() { return std::move(recovered_state_); }
   /// @returns bytes of the torn record that Open cut
   uint64_t cut_bytes() const { return cut_bytes_; }
   /// @returns bytes of the log file
   uint64_t log_bytes() const { return log_bytes_; }
+  /// @returns bytes of the snapshot that was written last
+  uint64_t snapshot_bytes() const { return written_bytes_; }
 
   /// Appends and syncs once. Entries replace those with the same and higher
   /// indexes.
@@ -199,6 +220,21 @@
                       uint64_t start_index,
                       uint64_t start_term,
                       const std::vector<LogEntry>& entries);
+  /// Begins to write a snapshot beside the one in place.
+  void BeginSnapshot(const SnapshotMeta& meta,
+                     std::unique_ptr<StateImageI> image);
+  bool writing_snapshot() const { return image_ != nullptr; }
+  const SnapshotMeta& writing_meta() const { return writing_meta_; }
+  /// Writes and syncs the next piece, so that appends wait for one piece at
+  /// most.
+  /// @returns true if it was the last one
+  Outcome<bool> WriteSnapshotPiece();
+  /// Puts the written snapshot in place, then replaces the log by the given
+  /// remainder.
+  Status FinishSnapshot(const HardState& hard_state,
+                        uint64_t start_index,
+                        uint64_t start_term,
+                        const std::vector<LogEntry>& entries);
   /// @returns the saved snapshot, or an empty one with index 0
   Outcome<Snapshot> LoadSnapshot() const;
 
@@ -211,7 +247,12 @@
 
   DiskI& disk_;
   DurableState recovered_;
-  std::string last_record_;  ///< Until Open has rewritten it.
+  std::string recovered_state_;
+  std::unique_ptr<StateImageI> image_;  ///< Of the snapshot being written.
+  SnapshotMeta writing_meta_;
+  uint64_t written_bytes_ = 0;
+  uint64_t written_state_bytes_ = 0;  ///< Without framing.
+  std::string last_record_;           ///< Until Open has rewritten it.
   uint64_t cut_bytes_ = 0;
   uint64_t log_bytes_ = 0;
   bool failed_ = false;
@@ -258,7 +299,7 @@
 /// Contents of a snapshot file; also the result of a backup.
 std::string EncodeSnapshotFile(const Snapshot& snapshot);
 /// @returns corrupt_data if a checksum does not match
-Outcome<Snapshot> DecodeSnapshotFile(std::string_view bytes);
+Outcome<Snapshot> DecodeSnapshotFile(std::string bytes);
 std::string EncodeRaftMessage(const RaftMessage& message);
 /// @returns corrupt_data if the bytes are not a valid message
 Outcome<RaftMessage> DecodeRaftMessage(std::string_view bytes);
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -66,6 +66,7 @@
                     std::string_view command) override;
   std::string Query(std::string_view query) const override;
   std::string Save() const override;
+  std::unique_ptr<StateImageI> Freeze() const override;
   Status Load(std::string_view snapshot) override;
   std::string ExpireCommand() const override;
 
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -43,12 +43,8 @@
   }
   wal_ = std::move(*wal);
   machine_ = init_.create_machine();
-  const auto snapshot = wal_->LoadSnapshot();
-  if (!snapshot) {
-    return snapshot.refusal();
-  }
-  if (!snapshot->data.empty()) {
-    if (Status status = machine_->Load(snapshot->data); !status) {
+  if (const std::string state = wal_->TakeRecoveredState(); !state.empty()) {
+    if (Status status = machine_->Load(state); !status) {
       return status;
     }
   }
@@ -71,7 +67,7 @@
       .Add("group", name())
       .Add("replica", init_.identity.replica)
       .Add("term", wal_->recovered().hard_state.term)
-      .Add("snapshot_index", snapshot->meta.index)
+      .Add("snapshot_index", wal_->recovered().snapshot.index)
       .Add("entries", uint64_t{wal_->recovered().entries.size()})
       .Add("cut_bytes", wal_->cut_bytes());
   replica_ = std::make_unique<Replica>(std::move(replica), wal_->recovered());
@@ -104,7 +100,10 @@
   Status status = Done{};
   while (status && !stop.stopped()) {
     const int64_t wait_ms =
-        std::clamp<int64_t>(next_tick_ms_ - clock_.NowMs(), 0, init_.tick_ms);
+        wal_->writing_snapshot()
+            ? 0
+            : std::clamp<int64_t>(next_tick_ms_ - clock_.NowMs(), 0,
+                                  init_.tick_ms);
     status = Pass(inbox_.PopAll(wait_ms));
   }
   FailPending(0, status ? "the keeper stops" : status.refusal().message);
@@ -373,25 +372,42 @@
   }
 }
 
+// A snapshot is written in pieces between the passes, because callers would
+// wait for a whole one, and all replicas save theirs at the same entry.
 Status GroupHost::SnapshotIfDue() {
+  if (wal_->writing_snapshot()) {
+    return ContinueSnapshot();
+  }
   const SnapshotMeta meta = replica_->AppliedMeta();
   const uint64_t covered = meta.index - replica_->start_index();
   const uint64_t kept = init_.snapshot_entries / kKeptShare;
-  if (covered < init_.snapshot_entries + kept &&
-      (wal_->log_bytes() < kMaxLogBytes || covered == 0)) {
+  if (covered >= init_.snapshot_entries + kept ||
+      (wal_->log_bytes() >= kMaxLogBytes && covered > 0)) {
+    wal_->BeginSnapshot(meta, machine_->Freeze());
+  }
+  return Done{};
+}
+
+Status GroupHost::ContinueSnapshot() {
+  const auto complete = wal_->WriteSnapshotPiece();
+  if (!complete) {
+    return complete.refusal();
+  }
+  if (!*complete) {
     return Done{};
   }
+  const SnapshotMeta meta = wal_->writing_meta();
+  const uint64_t kept = init_.snapshot_entries / kKeptShare;
   const bool large = wal_->log_bytes() >= kMaxLogBytes;
-  Snapshot snapshot{meta, machine_->Save()};
   replica_->Compact(meta, large ? meta.index + 1 : meta.index - kept + 1);
   const uint64_t start = replica_->start_index();
-  Status status = wal_->SaveSnapshot(snapshot, replica_->hard_state(), start,
-                                     replica_->TermAt(start),
-                                     replica_->EntriesAfter(start));
+  Status status = wal_->FinishSnapshot(replica_->hard_state(), start,
+                                       replica_->TermAt(start),
+                                       replica_->EntriesAfter(start));
   Event(LogLevel::kInfo, "snapshot_saved")
       .Add("group", name())
       .Add("index", meta.index)
-      .Add("bytes", uint64_t{snapshot.data.size()});
+      .Add("bytes", wal_->snapshot_bytes());
   return status;
 }
 
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -114,6 +114,7 @@
   void Apply(const std::vector<LogEntry>& entries);
   void AnswerReads(const Ready& ready);
   Status SnapshotIfDue();
+  Status ContinueSnapshot();
   void NoteLeader();
   /// @param kept_term proposals of this term go on waiting; 0: none
   void FailPending(uint64_t kept_term, const std::string& message);
--- a/src/log_disk.cc
+++ b/src/log_disk.cc
@@ -174,8 +174,8 @@
   Status RewriteTail(const std::string& name,
                      uint64_t offset,
                      std::string_view bytes) override {
-    const Descriptor file(
-        ::openat(directory_.get(), name.c_str(), O_WRONLY | O_CLOEXEC));
+    const Descriptor file(::openat(directory_.get(), name.c_str(),
+                                   O_WRONLY | O_CREAT | O_CLOEXEC, 0600));
     const auto end = static_cast<off_t>(offset + bytes.size());
     if (!file.valid() || ::ftruncate(file.get(), end) != 0 ||
         ::lseek(file.get(), static_cast<off_t>(offset), SEEK_SET) < 0) {
@@ -190,6 +190,18 @@
     return Done{};
   }
 
+  Status Rename(const std::string& from, const std::string& to) override {
+    if (append_name_ == from || append_name_ == to) {
+      append_ = Descriptor();
+      append_name_.clear();
+    }
+    if (::renameat(directory_.get(), from.c_str(), directory_.get(),
+                   to.c_str()) != 0) {
+      return Failed("cannot rename", Path(from), errno);
+    }
+    return SyncFolder();
+  }
+
   Status Remove(const std::string& name) override {
     if (::unlinkat(directory_.get(), name.c_str(), 0) != 0) {
       return Failed("cannot remove", Path(name), errno);
--- a/src/log_wal.cc
+++ b/src/log_wal.cc
@@ -1,6 +1,8 @@
 #include "persimmonring/log.h"
 
 #include <algorithm>
+#include <cstring>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +15,9 @@
 constexpr char kIdentityFile[] = "identity.json";
 constexpr char kLogFile[] = "log";
 constexpr char kSnapshotFile[] = "snapshot";
+constexpr char kWritingFile[] = "snapshot.tmp";
+// Written and synced at a time: 4 ms of a disk with 120 MB/s.
+constexpr size_t kPieceBytes = 512u << 10;
 // The first entries of a group share this position on all initial members.
 constexpr uint64_t kInitialIndex = 1;
 
@@ -168,6 +173,21 @@
   return Done{};
 }
 
+// Image of a machine that saves its state at once.
+class SavedImage final : public StateImageI {
+ public:
+  explicit SavedImage(std::string state) : state_(std::move(state)) {}
+  bool Append(size_t bytes, std::string& out) override {
+    out.append(state_, offset_, bytes);
+    offset_ = std::min(offset_ + bytes, state_.size());
+    return offset_ < state_.size();
+  }
+
+ private:
+  const std::string state_;
+  size_t offset_ = 0;
+};
+
 }  // namespace
 
 std::string EncodeSnapshotFile(const Snapshot& snapshot) {
@@ -179,10 +199,12 @@
   return file;
 }
 
-Outcome<Snapshot> DecodeSnapshotFile(std::string_view bytes) {
-  constexpr size_t kRecords = 2;
+// A file holds the meta data, then the state as one record, or as several that
+// are followed by a record with their total size.
+Outcome<Snapshot> DecodeSnapshotFile(std::string bytes) {
+  constexpr size_t kWholeRecords = 2;
   const auto scan = ScanRecords(bytes);
-  if (!scan || scan->payloads.size() != kRecords ||
+  if (!scan || scan->payloads.size() < kWholeRecords ||
       scan->valid_bytes != bytes.size()) {
     return Corrupt("the snapshot file is damaged");
   }
@@ -190,7 +212,29 @@
   if (!meta) {
     return meta.refusal();
   }
-  return Snapshot{*meta, std::string(scan->payloads[1])};
+  std::vector<std::string_view> pieces(scan->payloads.begin() + 1,
+                                       scan->payloads.end());
+  std::optional<std::string> expected_size;
+  if (scan->payloads.size() > kWholeRecords) {
+    expected_size = std::string(pieces.back());
+    pieces.pop_back();
+  }
+  // The pieces move to the front of the buffer: a second one would double the
+  // memory that a start needs.
+  size_t size = 0;
+  for (const std::string_view piece : pieces) {
+    std::memmove(bytes.data() + size, piece.data(), piece.size());
+    size += piece.size();
+  }
+  if (expected_size && *expected_size != std::to_string(size)) {
+    return Corrupt("the snapshot file lacks a part");
+  }
+  bytes.resize(size);
+  return Snapshot{*meta, std::move(bytes)};
+}
+
+std::unique_ptr<StateImageI> StateMachineI::Freeze() const {
+  return std::make_unique<SavedImage>(Save());
 }
 
 Status Wal::Initialize(DiskI& disk,
@@ -263,11 +307,12 @@
 }
 
 Status Wal::Recover() {
-  const auto snapshot = LoadSnapshot();
+  auto snapshot = LoadSnapshot();
   if (!snapshot) {
     return snapshot.refusal();
   }
   recovered_.snapshot = snapshot->meta;
+  recovered_state_ = std::move(snapshot->data);
   const auto bytes = disk_.Read(kLogFile);
   if (!bytes) {
     return bytes.refusal();
@@ -334,6 +379,8 @@
                          uint64_t start_index,
                          uint64_t start_term,
                          const std::vector<LogEntry>& entries) {
+  // Overtakes a snapshot that is being written.
+  image_.reset();
   Status status = CheckUsable();
   if (!status) {
     return status;
@@ -347,12 +394,62 @@
       {hard_state, snapshot.meta, start_index, start_term, entries});
 }
 
+void Wal::BeginSnapshot(const SnapshotMeta& meta,
+                        std::unique_ptr<StateImageI> image) {
+  image_ = std::move(image);
+  writing_meta_ = meta;
+  written_bytes_ = 0;
+  written_state_bytes_ = 0;
+}
+
+Outcome<bool> Wal::WriteSnapshotPiece() {
+  if (Status status = CheckUsable(); !status) {
+    return status.refusal();
+  }
+  std::string piece;
+  piece.reserve(kPieceBytes + kPieceBytes / 4);
+  const bool more = image_->Append(kPieceBytes, piece);
+  std::string records;
+  records.reserve(piece.size() + 3 * kRecordOverhead);
+  if (written_bytes_ == 0) {
+    AppendRecord(records, EncodeSnapshotMeta(writing_meta_));
+  }
+  AppendRecord(records, piece);
+  written_state_bytes_ += piece.size();
+  if (!more) {
+    AppendRecord(records, std::to_string(written_state_bytes_));
+  }
+  const Status status =
+      disk_.RewriteTail(kWritingFile, written_bytes_, records);
+  if (!status) {
+    failed_ = true;
+    return status.refusal();
+  }
+  written_bytes_ += records.size();
+  return !more;
+}
+
+Status Wal::FinishSnapshot(const HardState& hard_state,
+                           uint64_t start_index,
+                           uint64_t start_term,
+                           const std::vector<LogEntry>& entries) {
+  image_.reset();
+  Status status = CheckUsable();
+  if (status) {
+    status = disk_.Rename(kWritingFile, kSnapshotFile);
+    failed_ = !status.ok();
+  }
+  return status ? RewriteLog({hard_state, writing_meta_, start_index,
+                              start_term, entries})
+                : status;
+}
+
 Outcome<Snapshot> Wal::LoadSnapshot() const {
-  const auto bytes = disk_.Read(kSnapshotFile);
+  auto bytes = disk_.Read(kSnapshotFile);
   if (!bytes) {
     return bytes.refusal();
   }
-  return DecodeSnapshotFile(*bytes);
+  return DecodeSnapshotFile(std::move(*bytes));
 }
 
 }  // namespace ring
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -144,7 +144,7 @@
   }
   fb::StateResultT result = Result(fb::StateCode::Done);
   if (!previous.empty()) {
-    result.last_upstream = before->second.upstream;
+    result.last_upstream = before->second.turn->upstream;
     CollectChain(previous, TextOf(command.known()), result);
   }
   return result;
@@ -154,11 +154,11 @@
                                           std::string_view known,
                                           fb::StateResultT& result) const {
   for (auto it = turns_.find(turn); it != turns_.end() && it->first != known;
-       it = turns_.find(it->second.previous)) {
+       it = turns_.find(it->second.turn->previous)) {
     auto text = std::make_unique<fb::TurnTextT>();
-    text->turn = it->first;
-    text->previous = it->second.previous;
-    text->text = it->second.text;
+    text->turn = it->second.turn->id;
+    text->previous = it->second.turn->previous;
+    text->text = it->second.turn->text;
     result.chain.push_back(std::move(text));
   }
   std::reverse(result.chain.begin(), result.chain.end());
@@ -182,23 +182,23 @@
 void RingStateMachine::Impl::KeepTurn(const fb::FinishTurn& command) {
   const int64_t expires_ms =
       now_ms_ + command.retention_ms() + init_.clock_slack_ms;
-  const auto [it, added] =
-      turns_.try_emplace(TextFrom(command.turn()), KeptTurn{});
-  if (!added) {
+  if (turns_.contains(TextOf(command.turn()))) {
     return;
   }
-  KeptTurn& turn = it->second;
-  turn.previous = TextFrom(command.previous());
-  turn.text = TextFrom(command.text());
-  turn.upstream = TextFrom(command.upstream());
-  ExtendChain(it->first, expires_ms);
+  auto turn = std::make_shared<KeptTurn>();
+  turn->id = TextFrom(command.turn());
+  turn->previous = TextFrom(command.previous());
+  turn->text = TextFrom(command.text());
+  turn->upstream = TextFrom(command.upstream());
+  turns_.emplace(turn->id, TurnSlot{turn});
+  ExtendChain(turn->id, expires_ms);
 }
 
 void RingStateMachine::Impl::ExtendChain(const std::string& turn,
                                          int64_t expires_ms) {
   for (auto it = turns_.find(turn);
        it != turns_.end() && it->second.expires_ms < expires_ms;
-       it = turns_.find(it->second.previous)) {
+       it = turns_.find(it->second.turn->previous)) {
     it->second.expires_ms = expires_ms;
   }
 }
@@ -282,7 +282,15 @@
 }
 
 std::string RingStateMachine::Save() const {
-  return impl_->Save();
+  const auto image = impl_->Freeze();
+  std::string saved;
+  while (image->Append(SIZE_MAX, saved)) {
+  }
+  return saved;
+}
+
+std::unique_ptr<StateImageI> RingStateMachine::Freeze() const {
+  return impl_->Freeze();
 }
 
 Status RingStateMachine::Load(std::string_view snapshot) {
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -16,14 +16,20 @@
 
   std::string Apply(int64_t time_ms, std::string_view command);
   std::string Query(std::string_view query) const;
-  std::string Save() const;
+  std::unique_ptr<StateImageI> Freeze() const;
   Status Load(std::string_view snapshot);
 
  private:
+  class Image;
+  /// Never changes once kept, so that images share it.
   struct KeptTurn {
+    std::string id;
     std::string previous;
     std::string text;
     std::string upstream;
+  };
+  struct TurnSlot {
+    std::shared_ptr<const KeptTurn> turn;
     int64_t expires_ms = 0;
   };
   struct Program {
@@ -64,7 +70,7 @@
   fb::RingStateSnapshotT SaveHead() const;
   static fb::ProgramLedgerT SaveProgram(const std::string& id,
                                         const Program& program);
-  static fb::KeptTurnT SaveTurn(const std::string& id, const KeptTurn& turn);
+  static fb::KeptTurnT SaveTurn(const TurnSlot& slot);
   void LoadHead(fb::RingStateSnapshotT head);
 
   const Init init_;
@@ -76,7 +82,7 @@
   std::map<std::string, Registration> registrations_;  ///< By instance.
   std::map<std::string, Departure> departures_;  ///< By instance and start.
   std::map<std::string, Program> programs_;
-  std::map<std::string, KeptTurn> turns_;
+  std::map<std::string_view, TurnSlot> turns_;  ///< By the id in the slot.
   std::set<std::string> retired_;
 };
 
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -5,9 +5,13 @@
 namespace {
 
 constexpr uint32_t kSnapshotMagic = 0x54534752;  // "RGST"
-constexpr uint32_t kSnapshotVersion = 2;
-// Snapshot bytes of a turn besides its text; only a size hint.
-constexpr size_t kTurnOverhead = 128;
+constexpr uint32_t kSnapshotVersion = 3;
+// Records begin at multiples of this, so that they are read where they are.
+constexpr size_t kRecordAlignment = 8;
+
+size_t PaddingOf(size_t size) {
+  return (kRecordAlignment - size % kRecordAlignment) % kRecordAlignment;
+}
 
 // Programs and turns are written one after the other, because a single buffer
 // of all of them would need the memory of the state several times over.
@@ -15,16 +19,18 @@
 void AppendRecord(std::string& out, const T& record) {
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(T::TableType::Pack(builder, &record));
-  AppendValue(out, static_cast<uint32_t>(builder.GetSize()));
+  AppendValue(out, static_cast<uint64_t>(builder.GetSize()));
   out.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
              builder.GetSize());
+  out.append(PaddingOf(builder.GetSize()), '\0');
 }
 
 // Takes the next record off the front.
 template <typename T>
 bool TakeRecord(std::string_view& in, T& record) {
-  uint32_t size = 0;
-  if (!TakeValue(in, size) || in.size() < size) {
+  uint64_t size = 0;
+  if (!TakeValue(in, size) || in.size() < size ||
+      in.size() - size < PaddingOf(size)) {
     return false;
   }
   const FlatView<typename T::TableType> view(in.substr(0, size));
@@ -32,7 +38,7 @@
     return false;
   }
   view->UnPackTo(&record);
-  in.remove_prefix(size);
+  in.remove_prefix(size + PaddingOf(size));
   return true;
 }
 
@@ -44,23 +50,61 @@
 
 }  // namespace
 
-std::string RingStateMachine::Impl::Save() const {
-  size_t size = document_->size();
-  for (const auto& [id, turn] : turns_) {
-    size += turn.text.size() + kTurnOverhead;
-  }
-  std::string sealed = BeginSnapshot(kSnapshotMagic, kSnapshotVersion, size);
-  AppendRecord(sealed, SaveHead());
-  AppendValue(sealed, static_cast<uint64_t>(programs_.size()));
-  for (const auto& [id, program] : programs_) {
-    AppendRecord(sealed, SaveProgram(id, program));
+// Holds copies of what changes and shares the turns, which do not.
+class RingStateMachine::Impl::Image final : public StateImageI {
+ public:
+  explicit Image(const Impl& machine)
+      : head_(machine.SaveHead()),
+        programs_(machine.programs_.begin(), machine.programs_.end()) {
+    turns_.reserve(machine.turns_.size());
+    for (const auto& [id, slot] : machine.turns_) {
+      turns_.push_back(slot);
+    }
   }
-  AppendValue(sealed, static_cast<uint64_t>(turns_.size()));
-  for (const auto& [id, turn] : turns_) {
-    AppendRecord(sealed, SaveTurn(id, turn));
+
+  bool Append(size_t bytes, std::string& out) override {
+    const size_t begin = out.size();
+    const size_t end = bytes < SIZE_MAX - begin ? begin + bytes : SIZE_MAX;
+    if (!begun_) {
+      begun_ = true;
+      out += BeginSnapshot(kSnapshotMagic, kSnapshotVersion, 0);
+      AppendRecord(out, head_);
+      AppendValue(out, static_cast<uint64_t>(programs_.size()));
+    }
+    for (; next_program_ < programs_.size() && out.size() < end;
+         ++next_program_) {
+      const auto& [id, program] = programs_[next_program_];
+      AppendRecord(out, SaveProgram(id, program));
+    }
+    if (next_program_ == programs_.size() && !turns_begun_) {
+      turns_begun_ = true;
+      AppendValue(out, static_cast<uint64_t>(turns_.size()));
+    }
+    for (; turns_begun_ && next_turn_ < turns_.size() && out.size() < end;
+         ++next_turn_) {
+      AppendRecord(out, SaveTurn(turns_[next_turn_]));
+    }
+    checksum_.Add(std::string_view(out).substr(begin));
+    const bool more = !turns_begun_ || next_turn_ < turns_.size();
+    if (!more) {
+      AppendValue(out, checksum_.value());
+    }
+    return more;
   }
-  SealSnapshot(sealed);
-  return sealed;
+
+ private:
+  const fb::RingStateSnapshotT head_;
+  const std::vector<std::pair<std::string, Program>> programs_;
+  std::vector<TurnSlot> turns_;
+  bool begun_ = false;
+  bool turns_begun_ = false;
+  size_t next_program_ = 0;
+  size_t next_turn_ = 0;
+  RunningChecksum checksum_;
+};
+
+std::unique_ptr<StateImageI> RingStateMachine::Impl::Freeze() const {
+  return std::make_unique<Image>(*this);
 }
 
 fb::RingStateSnapshotT RingStateMachine::Impl::SaveHead() const {
@@ -97,15 +141,14 @@
   return row;
 }
 
-fb::KeptTurnT RingStateMachine::Impl::SaveTurn(const std::string& id,
-                                               const KeptTurn& turn) {
+fb::KeptTurnT RingStateMachine::Impl::SaveTurn(const TurnSlot& slot) {
   fb::KeptTurnT row;
   row.text = std::make_unique<fb::TurnTextT>();
-  row.text->turn = id;
-  row.text->previous = turn.previous;
-  row.text->text = turn.text;
-  row.upstream = turn.upstream;
-  row.expires_ms = turn.expires_ms;
+  row.text->turn = slot.turn->id;
+  row.text->previous = slot.turn->previous;
+  row.text->text = slot.turn->text;
+  row.upstream = slot.turn->upstream;
+  row.expires_ms = slot.expires_ms;
   return row;
 }
 
@@ -142,9 +185,13 @@
     if (!TakeRecord(body, row) || !row.text) {
       return Corrupt("turns", turns);
     }
-    turns_[row.text->turn] = {std::move(row.text->previous),
-                              std::move(row.text->text),
-                              std::move(row.upstream), row.expires_ms};
+    auto turn = std::make_shared<KeptTurn>();
+    turn->id = std::move(row.text->turn);
+    turn->previous = std::move(row.text->previous);
+    turn->text = std::move(row.text->text);
+    turn->upstream = std::move(row.upstream);
+    // Turns are saved in the order of their ids.
+    turns_.emplace_hint(turns_.end(), turn->id, TurnSlot{turn, row.expires_ms});
   }
   NotifyAll();
   return Done{};
--- a/tests/keeper_host_fixture.h
+++ b/tests/keeper_host_fixture.h
@@ -85,6 +85,9 @@
     return control_->failing ? Failure()
                              : disk_.RewriteTail(name, offset, bytes);
   }
+  Status Rename(const std::string& from, const std::string& to) override {
+    return control_->failing ? Failure() : disk_.Rename(from, to);
+  }
   Status Remove(const std::string& name) override {
     return control_->failing ? Failure() : disk_.Remove(name);
   }
--- a/tests/log_disk_test.cc
+++ b/tests/log_disk_test.cc
@@ -31,11 +31,15 @@
     ASSERT_TRUE((*disk)->Sync("log"));
     ASSERT_TRUE((*disk)->Replace("snapshot", "s"));
     ASSERT_TRUE((*disk)->RewriteTail("log", 3, "t"));
+    ASSERT_TRUE((*disk)->RewriteTail("new", 0, "s"));
+    ASSERT_TRUE((*disk)->RewriteTail("new", 1, "tate"));
+    ASSERT_TRUE((*disk)->Rename("new", "snapshot"));
   }
   auto disk = OpenDisk(folder_ + "/a/b", false);
   ASSERT_TRUE(disk);
   EXPECT_EQ(*(*disk)->Read("log"), "onet");
   EXPECT_EQ(*(*disk)->List(), (std::vector<std::string>{"log", "snapshot"}));
+  EXPECT_EQ(*(*disk)->Read("snapshot"), "state");
   // A replaced file must not be appended to through an old descriptor.
   ASSERT_TRUE((*disk)->Append("log", "x"));
   ASSERT_TRUE((*disk)->Replace("log", "new"));
--- a/tests/log_wal_test.cc
+++ b/tests/log_wal_test.cc
@@ -274,6 +274,100 @@
   EXPECT_EQ((*Open())->recovered().entries.size(), 1u);
 }
 
+// State of a given size whose image is handed out as it is asked for.
+class LargeImage final : public StateImageI {
+ public:
+  explicit LargeImage(std::string state) : state_(std::move(state)) {}
+  bool Append(size_t bytes, std::string& out) override {
+    out.append(state_, offset_, bytes);
+    offset_ += bytes;
+    return offset_ < state_.size();
+  }
+
+ private:
+  const std::string state_;
+  size_t offset_ = 0;
+};
+
+// Guards against turns that wait for the write of a whole snapshot, and against
+// entries appended meanwhile that are lost.
+TEST_F(WalTest, AppendsBetweenPiecesOfSnapshot_AreKeptWithIt) {
+  constexpr size_t kStateBytes = 3u << 20;
+  constexpr size_t kLongestWrite = 1u << 20;
+  WriteThree();
+  auto wal = Open();
+  const std::string state(kStateBytes, 's');
+  const SnapshotMeta meta = {4, 1, 100, {members_}};
+  (*wal)->BeginSnapshot(meta, std::make_unique<LargeImage>(state));
+  uint64_t index = 4;
+  std::vector<LogEntry> later;
+  bool complete = false;
+  while (!complete) {
+    const uint64_t before = medium_->rewritten_bytes;
+    const auto written = (*wal)->WriteSnapshotPiece();
+    ASSERT_TRUE(written);
+    complete = *written;
+    EXPECT_LT(medium_->rewritten_bytes - before, kLongestWrite);
+    later.push_back(Entry(++index));
+    ASSERT_TRUE((*wal)->Append({}, {later.back()}));
+  }
+  ASSERT_GT(later.size(), 3u);
+  EXPECT_EQ((*wal)->LoadSnapshot()->meta.index, 1u);
+  ASSERT_TRUE((*wal)->FinishSnapshot({1, 1}, 4, 1, later));
+  FakeDisk::CutPower(*medium_);
+  const auto reopened = Open();
+  ASSERT_TRUE(reopened) << reopened.refusal().message;
+  EXPECT_EQ((*reopened)->recovered().snapshot, meta);
+  EXPECT_EQ((*reopened)->recovered().entries, later);
+  EXPECT_EQ((*reopened)->TakeRecoveredState(), state);
+}
+
+// Guards against a keeper that does not start after a crash while a snapshot is
+// written, or that loses what it had acknowledged. Every writing operation
+// fails in turn, then the power is cut.
+TEST_F(WalTest, CrashWhileSnapshotIsWritten_KeepsAllEntries) {
+  const FakeDisk::Medium saved = *medium_;
+  bool whole = false;
+  for (int64_t fail_at = 1; !whole; ++fail_at) {
+    *medium_ = saved;
+    WriteThree();
+    auto wal = Open();
+    medium_->fail_at = medium_->operations + fail_at;
+    medium_->fail_after_too = true;
+    (*wal)->BeginSnapshot(
+        {3, 1, 100, {members_}},
+        std::make_unique<LargeImage>(std::string(1u << 20, 's')));
+    Status status = Done{};
+    for (bool complete = false; status && !complete;) {
+      const auto written = (*wal)->WriteSnapshotPiece();
+      status = written ? Status(Done{}) : Status(written.refusal());
+      complete = written && *written;
+    }
+    if (status) {
+      status = (*wal)->FinishSnapshot({1, 1}, 3, 1, {Entry(4)});
+    }
+    whole = status.ok();
+    FakeDisk::CutPower(*medium_);
+    const auto reopened = Open();
+    ASSERT_TRUE(reopened) << reopened.refusal().message;
+    const DurableState& state = (*reopened)->recovered();
+    EXPECT_EQ(state.start_index + state.entries.size(), 4u) << fail_at;
+    EXPECT_EQ(state.entries.back(), Entry(4));
+  }
+}
+
+// Guards against a snapshot file without its last pieces that counts as whole.
+TEST_F(WalTest, SnapshotFileWithoutLastPieces_IsCorruptData) {
+  auto wal = Open();
+  (*wal)->BeginSnapshot(
+      {1, 1, 100, {members_}},
+      std::make_unique<LargeImage>(std::string(2u << 20, 's')));
+  ASSERT_FALSE(*(*wal)->WriteSnapshotPiece());
+  ASSERT_FALSE(*(*wal)->WriteSnapshotPiece());
+  const std::string begun = medium_->files.at("snapshot.tmp").cached;
+  EXPECT_EQ(DecodeSnapshotFile(begun).refusal().reason, Reason::kCorruptData);
+}
+
 // Guards against a start that takes the longer the longer the log is: rewriting
 // 10 MB on a shared disk kept a whole ring from serving for 0.3 s.
 TEST_F(WalTest, ReopenOfLongLog_RewritesTheLastRecordOnly) {
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -219,6 +219,36 @@
   EXPECT_EQ(copy.Save(), machine_.Save());
 }
 
+// Guards against a snapshot that mixes the state of two moments, since commands
+// are applied while it is written.
+TEST_F(RingStateTest, CommandsWhileImageIsWritten_AreNotInIt) {
+  constexpr int kTurns = 50;
+  constexpr size_t kPiece = 700;
+  for (int i = 0; i < kTurns; ++i) {
+    Begin("t" + std::to_string(i), "", 100'000);
+    Finish("t" + std::to_string(i), "");
+  }
+  const std::string before = machine_.Save();
+  const auto image = machine_.Freeze();
+  std::string written;
+  int pieces = 0;
+  bool more = true;
+  while (more) {
+    const size_t size = written.size();
+    more = image->Append(kPiece, written);
+    EXPECT_LT(written.size() - size, 2 * kPiece);
+    ++pieces;
+    const std::string turn = "later" + std::to_string(pieces);
+    Begin(turn, "t1", 100'000);
+    Finish(turn, "t1");
+    now_ms_ += kRetentionMs / 4;
+    Apply(state_codec::EncodeExpire());
+  }
+  EXPECT_GT(pieces, 5);
+  EXPECT_EQ(written, before);
+  EXPECT_NE(machine_.Save(), before);
+}
+
 // Guards against a crash by bytes that are no command.
 TEST_F(RingStateTest, DamagedCommand_IsRefused) {
   const auto result =
