Log reports on upstreams only where they change the entry's view

Ruled out: dropping the lines by the rate limit, which drops others as well. Change: UpstreamTable::Merge returns the reports that changed the incarnation, the state or whether any keeper hears the upstream; only these are logged.

--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -204,9 +205,10 @@
   };
 
   /// @param whole these are all that the keeper hears
-  void Merge(const std::string& keeper,
-             bool whole,
-             const std::vector<Report>& reports);
+  /// @returns the reports that changed what requests are placed by
+  std::vector<Report> Merge(const std::string& keeper,
+                            bool whole,
+                            const std::vector<Report>& reports);
   /// Takes in a state that came with the replicated log.
   void Depart(const UpstreamDeparture& departure);
   /// The link to a keeper is lost; what it said last stays until others or it
@@ -223,8 +225,13 @@
   struct Entry {
     UpstreamInstance upstream;
     std::set<std::string> heard_by;
+
+    /// Whether requests may be placed here, and on which incarnation.
+    std::tuple<int64_t, UpstreamState, bool> usable() const {
+      return {upstream.born_ms, upstream.state, !heard_by.empty()};
+    }
   };
-  void MergeOne(const std::string& keeper, const Report& report);
+  bool MergeOne(const std::string& keeper, const Report& report);
   void ResolveAddress(const UpstreamInstance& newest);
 
   std::unordered_map<std::string, Entry> entries_;
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -178,17 +178,19 @@
                            report.upstream.state == UpstreamState::kGone});
         continue;
       }
-      Event(LogLevel::kInfo, "upstream_reported")
-          .Add("upstream", report.upstream.instance)
-          .Add("address", report.upstream.address.ToString())
-          .Add("state", int{static_cast<uint8_t>(report.upstream.state)})
-          .Add("heard", report.heard)
-          .Add("sequence", report.upstream.sequence)
-          .Add("keeper", node);
       reports.push_back(std::move(report));
     }
   }
-  upstreams_.Merge(node, update->whole(), reports);
+  for (const UpstreamTable::Report& report :
+       upstreams_.Merge(node, update->whole(), reports)) {
+    Event(LogLevel::kInfo, "upstream_reported")
+        .Add("upstream", report.upstream.instance)
+        .Add("address", report.upstream.address.ToString())
+        .Add("state", int{static_cast<uint8_t>(report.upstream.state)})
+        .Add("heard", report.heard)
+        .Add("sequence", report.upstream.sequence)
+        .Add("keeper", node);
+  }
   ResumeWaiting();
 }
 
--- a/src/gateway_upstream_table.cc
+++ b/src/gateway_upstream_table.cc
@@ -4,24 +4,30 @@
 
 namespace ring {
 
-void UpstreamTable::Merge(const std::string& keeper,
-                          bool whole,
-                          const std::vector<Report>& reports) {
+std::vector<UpstreamTable::Report> UpstreamTable::Merge(
+    const std::string& keeper,
+    bool whole,
+    const std::vector<Report>& reports) {
   if (whole) {
     ForgetKeeper(keeper);
   }
+  std::vector<Report> changes;
   for (const Report& report : reports) {
-    MergeOne(keeper, report);
+    if (MergeOne(keeper, report)) {
+      changes.push_back(report);
+    }
   }
+  return changes;
 }
 
-void UpstreamTable::MergeOne(const std::string& keeper, const Report& report) {
+bool UpstreamTable::MergeOne(const std::string& keeper, const Report& report) {
   const UpstreamInstance& news = report.upstream;
   auto [it, added] = entries_.try_emplace(news.instance, Entry{news, {}});
   Entry& entry = it->second;
+  const auto before = entry.usable();
   if (!added) {
     if (news.born_ms < entry.upstream.born_ms) {
-      return;
+      return false;
     }
     const bool reborn = news.born_ms > entry.upstream.born_ms;
     if (reborn) {
@@ -49,6 +55,7 @@
   if (entry.upstream.state == UpstreamState::kReady) {
     ResolveAddress(entry.upstream);
   }
+  return added || entry.usable() != before;
 }
 
 void UpstreamTable::ResolveAddress(const UpstreamInstance& newest) {
--- a/tests/gateway_tables_test.cc
+++ b/tests/gateway_tables_test.cc
@@ -114,6 +114,22 @@
   EXPECT_EQ(ready(), 0u);
 }
 
+// Guards against logs that fill up with what was known: each of eleven keepers
+// tells a restarted entry of all upstreams.
+TEST_F(UpstreamTableTest, SameReportByAnotherKeeper_IsNoChange) {
+  auto report = Heard("i", 5, 1, UpstreamState::kReady);
+  EXPECT_EQ(table_.Merge("k1", true, {report}).size(), 1u);
+  EXPECT_TRUE(table_.Merge("k2", true, {report}).empty());
+  report.upstream.sequence = 2;
+  EXPECT_TRUE(table_.Merge("k1", false, {report}).empty());
+  report.heard = false;
+  EXPECT_TRUE(table_.Merge("k1", false, {report}).empty());
+  EXPECT_EQ(table_.Merge("k2", false, {report}).size(), 1u);
+  report.heard = true;
+  report.upstream.state = UpstreamState::kDraining;
+  EXPECT_EQ(table_.Merge("k2", false, {report}).size(), 1u);
+}
+
 // Guards against chains that lose or gain a byte, and against wrong budgets.
 TEST(EventStreamReader, EventsInPieces_DataIsCollectedAndCounted) {
   const std::string stream =
