Repeat connection requests after 120 ms, with doubling limits

Ruled out: a short fixed limit, which would never connect over a link whose queue holds half a second of packets. Change: the limit starts at a few round trips and doubles with each request that stays without an answer; a refused one starts it anew. Before/after: test with a listener whose queue is full.

--- a/include/persimmonring/wire.h
+++ b/include/persimmonring/wire.h
@@ -104,9 +104,10 @@
     /// A Ping is sent when nothing else was sent for this time.
     int64_t ping_period_ms = 500;
     int64_t silence_limit_ms = 2'000;
-    /// A connection request without an answer is repeated after this time; TCP
-    /// alone would repeat it after 1 s.
-    int64_t connect_limit_ms = 500;
+    /// A connection request without an answer is repeated after this time, a
+    /// few round trips between regions; TCP alone repeats it after 1 s. Doubles
+    /// with each attempt up to the silence limit, for links with long queues.
+    int64_t connect_limit_ms = 120;
     int64_t reconnect_delay_ms = 200;
     /// For this time after the loss of a peer the delay stays as it is, because
     /// a restarted peer is back within seconds; then it grows to five times.
--- a/src/wire_hub_loop.cc
+++ b/src/wire_hub_loop.cc
@@ -134,6 +134,8 @@
       continue;
     }
     session->connecting = true;
+    session->connect_limit_ms =
+        std::max(target.connect_limit_ms, init_.connect_limit_ms);
     target.session = session->handle.value;
   }
 }
@@ -141,6 +143,7 @@
 void Hub::Impl::OnReady(const SessionPtr& session, uint32_t events) {
   if (session->connecting) {
     if (!wire::ConnectSucceeded(session->fd)) {
+      SetConnectLimit(session, 0);
       Close(session, Reason::kUpstreamRefused);
       return;
     }
@@ -316,9 +319,13 @@
     // A peer must identify itself within the limit, whatever else it sends.
     const int64_t heard =
         session->open ? session->last_received_ms : session->created_ms;
-    const int64_t limit_ms =
-        session->connecting ? init_.connect_limit_ms : init_.silence_limit_ms;
+    const int64_t limit_ms = session->connecting ? session->connect_limit_ms
+                                                 : init_.silence_limit_ms;
     if (now() - heard >= limit_ms) {
+      SetConnectLimit(session, session->connecting
+                                   ? std::min(2 * session->connect_limit_ms,
+                                              init_.silence_limit_ms)
+                                   : 0);
       Close(session, session->connecting ? Reason::kUpstreamRefused
                                          : Reason::kUpstreamTimeout);
     } else if (session->open &&
@@ -329,6 +336,15 @@
   }
 }
 
+void Hub::Impl::SetConnectLimit(const SessionPtr& session, int64_t limit_ms) {
+  std::lock_guard lock(mutex_);
+  const auto target =
+      session->target ? targets_.find(*session->target) : targets_.end();
+  if (target != targets_.end()) {
+    target->second.connect_limit_ms = limit_ms;
+  }
+}
+
 void Hub::Impl::ScheduleReconnect(Target& target) const {
   if (target.away_since_ms == 0) {
     target.away_since_ms = now();
--- a/src/wire_hub_p.h
+++ b/src/wire_hub_p.h
@@ -51,13 +51,15 @@
     bool is_self = false;
     int64_t retry_at_ms = 0;
     int64_t delay_ms = 0;
-    int64_t away_since_ms = 0;  // First failure since the last open session.
+    int64_t away_since_ms = 0;     // First failure since the last open session.
+    int64_t connect_limit_ms = 0;  // Of the next attempt; 0: the first limit.
   };
 
   SessionPtr Find(uint64_t handle) const;
   SessionPtr AddSession(int fd, std::optional<Endpoint> target);
   void AcceptAll();
   void StartConnects();
+  void SetConnectLimit(const SessionPtr& session, int64_t limit_ms);
   void ScheduleReconnect(Target& target) const;
   void OnReady(const SessionPtr& session, uint32_t events);
   void ReadFrames(const SessionPtr& session);
--- a/src/wire_session_p.h
+++ b/src/wire_session_p.h
@@ -46,6 +46,7 @@
 
   // Fields of the network thread.
   bool connecting = false;
+  int64_t connect_limit_ms = 0;
   int64_t created_ms = 0;
   int64_t last_received_ms = 0;
   int64_t last_sent_ms = 0;
--- a/tests/wire_hub_test.cc
+++ b/tests/wire_hub_test.cc
@@ -121,7 +121,7 @@
   return fd;
 }
 
-int ListenRaw(const Endpoint& endpoint) {
+int ListenRaw(const Endpoint& endpoint, int backlog = 16) {
   sockaddr_in address = {};
   address.sin_family = AF_INET;
   address.sin_port = htons(endpoint.port);
@@ -129,7 +129,7 @@
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
             0);
-  EXPECT_EQ(listen(fd, 16), 0);
+  EXPECT_EQ(listen(fd, backlog), 0);
   return fd;
 }
 
@@ -218,6 +218,31 @@
   EXPECT_LT(SystemClock().NowMs() - start_ms, 2'000);
 }
 
+// Guards against entries that find a restarted keeper late because their first
+// connection request was sent while its machine was down, and against a link
+// with long queues on which no attempt is given the time it needs.
+TEST(WireHubConnect, RequestsWithoutAnswer_AreRepeatedWithLongerLimits) {
+  auto init = InitOf("a");
+  init.connect_limit_ms = 100;
+  init.silence_limit_ms = 800;
+  const Endpoint address = {.ip = "127.0.0.1", .port = FreePort()};
+  const int listener = ListenRaw(address, 0);
+  // A full queue of connections drops further requests.
+  const int filler = ConnectRaw(address);
+  Node a(init);
+  const int64_t start_ms = SystemClock().NowMs();
+  a.hub->Connect(address);
+  std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  close(accept(listener, nullptr, nullptr));
+  const int fd = accept(listener, nullptr, nullptr);
+  EXPECT_GE(fd, 0);
+  // TCP alone repeats the first request after 1 s.
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 900);
+  close(fd);
+  close(filler);
+  close(listener);
+}
+
 // Guards against a peer that is tried for ever at the pace of a restart.
 TEST(WireHubConnect, PeerAwayForLong_IsTriedLessOften) {
   auto init = InitOf("a");
