--- a/fakes/fake_disk.h
+++ b/fakes/fake_disk.h
@@ -36,6 +36,18 @@
     size_t partial_bytes = 0;
   };
 
+  class Contents final : public FileI {
+   public:
+    explicit Contents(std::string bytes) : bytes_(std::move(bytes)) {}
+    Outcome<std::string> ReadAt(uint64_t offset, size_t bytes) const override {
+      return offset < bytes_.size() ? bytes_.substr(offset, bytes)
+                                    : std::string();
+    }
+
+   private:
+    const std::string bytes_;
+  };
+
   explicit FakeDisk(std::shared_ptr<Medium> medium)
       : medium_(std::move(medium)) {}
 
@@ -84,6 +96,16 @@
     return found->second.cached;
   }
 
+  Outcome<std::shared_ptr<const FileI>> OpenFile(
+      const std::string& name) override {
+    auto contents = Read(name);
+    if (!contents) {
+      return contents.refusal();
+    }
+    return std::shared_ptr<const FileI>(
+        std::make_shared<Contents>(std::move(*contents)));
+  }
+
   Status Append(const std::string& name, std::string_view bytes) override {
     if (Fails()) {
       medium_->files[name].cached += bytes.substr(0, medium_->partial_bytes);
--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -18,6 +18,15 @@
 
 // ------------------------------------------------------------------------ disk
 
+/// A file opened for reading. Keeps its contents when another file takes its
+/// name.
+class FileI {
+ public:
+  virtual ~FileI() = default;
+  /// @returns the bytes at the offset; fewer at the end of the file
+  virtual Outcome<std::string> ReadAt(uint64_t offset, size_t bytes) const = 0;
+};
+
 /// One data folder. Contents last only once they are synced. Errors:
 /// storage_failed (full disk, read-only folder, I/O error), corrupt_data.
 class DiskI {
@@ -26,6 +35,9 @@
   virtual Outcome<std::vector<std::string>> List() = 0;
   /// @returns the whole file, or storage_failed if it does not exist
   virtual Outcome<std::string> Read(const std::string& name) = 0;
+  /// @returns storage_failed if the file does not exist
+  virtual Outcome<std::shared_ptr<const FileI>> OpenFile(
+      const std::string& name) = 0;
   virtual Status Append(const std::string& name, std::string_view bytes) = 0;
   /// Makes the appended bytes and the folder entry durable.
   virtual Status Sync(const std::string& name) = 0;
@@ -123,6 +135,28 @@
   virtual bool Append(size_t bytes, std::string& out) = 0;
 };
 
+/// Takes in a saved state piece by piece, so that a start does not hold it
+/// twice. Used by the thread of the machine.
+class StateLoaderI {
+ public:
+  virtual ~StateLoaderI() = default;
+  /// @returns corrupt_data if the bytes cannot be decoded
+  virtual Status Append(std::string_view bytes) = 0;
+  /// Called after the last piece; the machine is usable only if this succeeds.
+  virtual Status Finish() = 0;
+};
+
+/// A saved snapshot that is read in parts, to send it to another replica.
+class SnapshotSourceI {
+ public:
+  virtual ~SnapshotSourceI() = default;
+  virtual const SnapshotMeta& meta() const = 0;
+  /// @returns bytes of the state
+  virtual uint64_t size() const = 0;
+  /// @returns the bytes of the state at the offset; fewer at its end
+  virtual Outcome<std::string> Read(uint64_t offset, size_t bytes) const = 0;
+};
+
 /// Deterministic state behind a log. Called by one thread.
 class StateMachineI {
  public:
@@ -141,6 +175,8 @@
   virtual std::unique_ptr<StateImageI> Freeze() const;
   /// @returns corrupt_data if the snapshot cannot be decoded
   virtual Status Load(std::string_view snapshot) = 0;
+  /// Loads a new machine in pieces. The default collects them for Load.
+  virtual std::unique_ptr<StateLoaderI> BeginLoad();
   /// @returns a command that the leader proposes once a second, to expire old
   ///          records; empty: none
   virtual std::string ExpireCommand() const { return {}; }
@@ -201,8 +237,6 @@
   const DurableState& recovered() const { return recovered_; }
   /// Frees the recovered entries once the replica has taken them.
   void DropRecovered() { recovered_ = {}; }
-  /// Hands out the snapshot that Open read, once.
-  std::string TakeRecoveredState() { return std::move(recovered_state_); }
   /// @returns bytes of the torn record that Open cut
   uint64_t cut_bytes() const { return cut_bytes_; }
   /// @returns bytes of the log file
@@ -214,7 +248,7 @@
   /// indexes.
   Status Append(const std::optional<HardState>& hard_state,
                 const std::vector<LogEntry>& entries);
-  /// Saves a snapshot, then replaces the log by the given remainder.
+  /// Saves a snapshot at once, then replaces the log by the given remainder.
   Status SaveSnapshot(const Snapshot& snapshot,
                       const HardState& hard_state,
                       uint64_t start_index,
@@ -237,6 +271,10 @@
                         const std::vector<LogEntry>& entries);
   /// @returns the saved snapshot, or an empty one with index 0
   Outcome<Snapshot> LoadSnapshot() const;
+  Outcome<std::shared_ptr<const SnapshotSourceI>> OpenSnapshot() const;
+  /// Loads the saved state into a new machine; an empty one leaves it as it is.
+  /// @returns corrupt_data, storage_failed
+  Status LoadState(StateMachineI& machine) const;
 
  private:
   explicit Wal(DiskI& disk) : disk_(disk) {}
@@ -247,7 +285,6 @@
 
   DiskI& disk_;
   DurableState recovered_;
-  std::string recovered_state_;
   std::unique_ptr<StateImageI> image_;  ///< Of the snapshot being written.
   SnapshotMeta writing_meta_;
   uint64_t written_bytes_ = 0;
@@ -379,8 +416,8 @@
     /// Learners that have caught up become voters by themselves; else only by
     /// PromoteMember.
     bool promote_learners = true;
-    /// Reads the saved snapshot for a member that is too far behind.
-    std::function<std::shared_ptr<const Snapshot>()> load_snapshot;
+    /// Opens the saved snapshot for a member that is too far behind.
+    std::function<std::shared_ptr<const SnapshotSourceI>()> load_snapshot;
   };
 
   Replica(Init init, DurableState state);
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -68,6 +68,7 @@
   std::string Save() const override;
   std::unique_ptr<StateImageI> Freeze() const override;
   Status Load(std::string_view snapshot) override;
+  std::unique_ptr<StateLoaderI> BeginLoad() override;
   std::string ExpireCommand() const override;
 
  private:
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -18,6 +18,35 @@
 // How often members are looked at; a fraction of the time to detect a loss.
 constexpr int64_t kMaintenanceMs = 200;
 
+void ReportUnreadable(const std::string& group, const Refusal& refusal) {
+  Event(LogLevel::kError, "snapshot_unreadable")
+      .Add("group", group)
+      .Add("reason", refusal.reason)
+      .Add("detail", refusal.message);
+}
+
+// Logs errors of a source, because the replica itself does not log.
+class ReportingSource final : public SnapshotSourceI {
+ public:
+  ReportingSource(std::string group,
+                  std::shared_ptr<const SnapshotSourceI> source)
+      : group_(std::move(group)), source_(std::move(source)) {}
+
+  const SnapshotMeta& meta() const override { return source_->meta(); }
+  uint64_t size() const override { return source_->size(); }
+  Outcome<std::string> Read(uint64_t offset, size_t bytes) const override {
+    auto data = source_->Read(offset, bytes);
+    if (!data) {
+      ReportUnreadable(group_, data.refusal());
+    }
+    return data;
+  }
+
+ private:
+  const std::string group_;
+  const std::shared_ptr<const SnapshotSourceI> source_;
+};
+
 }  // namespace
 
 GroupHost::GroupHost(Init init,
@@ -43,10 +72,8 @@
   }
   wal_ = std::move(*wal);
   machine_ = init_.create_machine();
-  if (const std::string state = wal_->TakeRecoveredState(); !state.empty()) {
-    if (Status status = machine_->Load(state); !status) {
-      return status;
-    }
+  if (Status status = wal_->LoadState(*machine_); !status) {
+    return status;
   }
   Replica::Init replica;
   replica.id = init_.identity.replica;
@@ -58,10 +85,13 @@
   replica.max_append_bytes = init_.max_append_bytes;
   replica.max_snapshot_chunk = init_.max_append_bytes;
   replica.max_inflight_appends = init_.max_inflight_appends;
-  replica.load_snapshot = [this]() -> std::shared_ptr<const Snapshot> {
-    auto loaded = wal_->LoadSnapshot();
-    return loaded ? std::make_shared<const Snapshot>(std::move(*loaded))
-                  : nullptr;
+  replica.load_snapshot = [this]() -> std::shared_ptr<const SnapshotSourceI> {
+    auto opened = wal_->OpenSnapshot();
+    if (!opened) {
+      ReportUnreadable(name(), opened.refusal());
+      return nullptr;
+    }
+    return std::make_shared<ReportingSource>(name(), std::move(*opened));
   };
   Event(LogLevel::kInfo, "group_opened")
       .Add("group", name())
@@ -204,7 +234,7 @@
 
 Status GroupHost::Persist(Ready& ready) {
   if (ready.snapshot) {
-    if (Status status = InstallSnapshot(*ready.snapshot); !status) {
+    if (Status status = InstallSnapshot(std::move(*ready.snapshot)); !status) {
       return status;
     }
   }
@@ -222,17 +252,17 @@
   return status;
 }
 
-Status GroupHost::InstallSnapshot(const Snapshot& snapshot) {
+// The old state, the bytes received and the new state are never held together.
+Status GroupHost::InstallSnapshot(Snapshot snapshot) {
+  machine_ = init_.create_machine();
   Status status =
       wal_->SaveSnapshot(snapshot, replica_->hard_state(), snapshot.meta.index,
                          snapshot.meta.term, {});
   if (!status) {
     return status;
   }
-  machine_ = init_.create_machine();
-  if (!snapshot.data.empty()) {
-    status = machine_->Load(snapshot.data);
-  }
+  const size_t bytes = std::exchange(snapshot.data, {}).size();
+  status = wal_->LoadState(*machine_);
   FailPending(0, "a snapshot replaced the log");
   if (name() == kControlGroup) {
     PushControl();
@@ -240,7 +270,7 @@
   Event(LogLevel::kInfo, "snapshot_installed")
       .Add("group", name())
       .Add("index", snapshot.meta.index)
-      .Add("bytes", uint64_t{snapshot.data.size()});
+      .Add("bytes", uint64_t{bytes});
   return status;
 }
 
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -109,7 +109,7 @@
   void TickIfDue();
   Status ProcessReady();
   Status Persist(Ready& ready);
-  Status InstallSnapshot(const Snapshot& snapshot);
+  Status InstallSnapshot(Snapshot snapshot);
   void SendMessages(const std::vector<RaftMessage>& messages);
   void Apply(const std::vector<LogEntry>& entries);
   void AnswerReads(const Ready& ready);
--- a/src/log_disk.cc
+++ b/src/log_disk.cc
@@ -63,6 +63,38 @@
   return Done{};
 }
 
+class OpenedFile final : public FileI {
+ public:
+  OpenedFile(std::string path, Descriptor file)
+      : path_(std::move(path)), file_(std::move(file)) {}
+
+  Outcome<std::string> ReadAt(uint64_t offset, size_t bytes) const override {
+    std::string found(bytes, '\0');
+    size_t have = 0;
+    while (have < bytes) {
+      const ssize_t got =
+          ::pread(file_.get(), found.data() + have, bytes - have,
+                  static_cast<off_t>(offset + have));
+      if (got < 0 && errno == EINTR) {
+        continue;
+      }
+      if (got < 0) {
+        return Failed("cannot read", path_, errno);
+      }
+      if (got == 0) {
+        break;
+      }
+      have += static_cast<size_t>(got);
+    }
+    found.resize(have);
+    return found;
+  }
+
+ private:
+  const std::string path_;
+  const Descriptor file_;
+};
+
 class FolderDisk final : public DiskI {
  public:
   FolderDisk(std::string folder, Descriptor directory, Descriptor lock)
@@ -117,6 +149,17 @@
     return bytes;
   }
 
+  Outcome<std::shared_ptr<const FileI>> OpenFile(
+      const std::string& name) override {
+    Descriptor file(
+        ::openat(directory_.get(), name.c_str(), O_RDONLY | O_CLOEXEC));
+    if (!file.valid()) {
+      return Failed("cannot open", Path(name), errno);
+    }
+    return std::shared_ptr<const FileI>(
+        std::make_shared<OpenedFile>(Path(name), std::move(file)));
+  }
+
   Status Append(const std::string& name, std::string_view bytes) override {
     const auto fd = AppendDescriptor(name);
     if (!fd) {
--- a/src/log_record.cc
+++ b/src/log_record.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr size_t kLengthBytes = 4;
-constexpr size_t kHeaderBytes = 16;
+constexpr size_t kHeaderBytes = RecordHeader::kBytes;
 constexpr size_t kMarkerBytes = 1;
 // Not zero, so that the last sector of a whole record is never all zeros.
 constexpr char kEndMarker = '\xA5';
@@ -47,20 +47,16 @@
   if (bytes.size() < kHeaderBytes) {
     return {RecordState::kCutShort, {}, bytes.size()};
   }
-  const std::string_view length = bytes.substr(0, kLengthBytes);
-  if (ReadNumber<uint32_t>(bytes.substr(kLengthBytes)) != LengthCheck(length)) {
+  const auto header = RecordHeader::Read(bytes);
+  if (!header) {
     return {RecordState::kDamaged, {}, bytes.size()};
   }
-  const size_t size = ReadNumber<uint32_t>(length);
-  if (bytes.size() < kHeaderBytes + size + kMarkerBytes) {
+  if (bytes.size() < header->record_bytes) {
     return {RecordState::kCutShort, {}, bytes.size()};
   }
-  const size_t total = kHeaderBytes + size + kMarkerBytes;
-  const std::string_view payload = bytes.substr(kHeaderBytes, size);
-  const bool whole = ReadNumber<uint64_t>(bytes.substr(2 * kLengthBytes)) ==
-                         Checksum(payload) &&
-                     bytes[total - 1] == kEndMarker;
-  return {whole ? RecordState::kWhole : RecordState::kDamaged, payload, total};
+  const auto payload = header->PayloadOf(bytes.substr(0, header->record_bytes));
+  return {payload ? RecordState::kWhole : RecordState::kDamaged,
+          payload.value_or(std::string_view()), header->record_bytes};
 }
 
 // True if a sector between the offsets reads as zeros, which a record that was
@@ -82,6 +78,28 @@
 
 }  // namespace
 
+std::optional<RecordHeader> RecordHeader::Read(std::string_view bytes) {
+  if (bytes.size() < kHeaderBytes) {
+    return std::nullopt;
+  }
+  const std::string_view length = bytes.substr(0, kLengthBytes);
+  if (ReadNumber<uint32_t>(bytes.substr(kLengthBytes)) != LengthCheck(length)) {
+    return std::nullopt;
+  }
+  const size_t size = ReadNumber<uint32_t>(length);
+  return RecordHeader{size, kHeaderBytes + size + kMarkerBytes,
+                      ReadNumber<uint64_t>(bytes.substr(2 * kLengthBytes))};
+}
+
+std::optional<std::string_view> RecordHeader::PayloadOf(
+    std::string_view record) const {
+  if (record.size() != record_bytes || record.back() != kEndMarker) {
+    return std::nullopt;
+  }
+  const std::string_view payload = record.substr(kHeaderBytes, payload_bytes);
+  return checksum == Checksum(payload) ? std::optional(payload) : std::nullopt;
+}
+
 void AppendRecord(std::string& out, std::string_view payload) {
   std::string size;
   AppendNumber(size, static_cast<uint32_t>(payload.size()));
--- a/src/log_record_p.h
+++ b/src/log_record_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,10 +22,23 @@
 /// Records of a log file.
 struct RecordScan {
   std::vector<std::string_view> payloads;  ///< Point into the scanned bytes.
-  uint64_t last_record = 0;  ///< Offset of the last whole record.
+  uint64_t last_record = 0;                ///< Offset of the last whole record.
   uint64_t valid_bytes = 0;  ///< A torn record, if any, begins here.
 };
 
+/// First bytes of a record.
+struct RecordHeader {
+  static constexpr size_t kBytes = 16;
+  size_t payload_bytes = 0;
+  size_t record_bytes = 0;  ///< With header and end marker.
+  uint64_t checksum = 0;
+
+  /// @returns nullopt if the bytes are no header
+  static std::optional<RecordHeader> Read(std::string_view bytes);
+  /// @returns the payload of a whole record, nullopt if it is damaged
+  std::optional<std::string_view> PayloadOf(std::string_view record) const;
+};
+
 /// Reads all records. One record is written by each synced append, so only the
 /// last one can be torn: it is cut short, or a sector of it was never written
 /// and reads as zeros.
--- a/src/log_replica_leader.cc
+++ b/src/log_replica_leader.cc
@@ -63,7 +63,7 @@
                 [&](uint64_t index) { return index <= message.index; });
   progress->probe_sent = false;
   if (progress->state == SendState::kSnapshot &&
-      message.index >= progress->snapshot->meta.index) {
+      message.index >= progress->snapshot->meta().index) {
     progress->state = SendState::kProbe;
     progress->snapshot.reset();
     progress->next = message.index + 1;
@@ -125,8 +125,8 @@
 void Replica::Impl::HandleSnapshotReply(const RaftMessage& message) {
   Progress* progress = Hear(message);
   if (progress == nullptr || progress->state != SendState::kSnapshot ||
-      progress->snapshot->meta.index != message.index ||
-      message.snapshot_offset > progress->snapshot->data.size()) {
+      progress->snapshot->meta().index != message.index ||
+      message.snapshot_offset > progress->snapshot->size()) {
     return;
   }
   progress->snapshot_offset = message.snapshot_offset;
@@ -238,20 +238,25 @@
 }
 
 void Replica::Impl::SendChunk(ReplicaNumber id, Progress& progress) {
-  const Snapshot& snapshot = *progress.snapshot;
+  progress.chunk_due = false;
+  progress.chunk_tick = tick_;
+  const SnapshotSourceI& snapshot = *progress.snapshot;
+  auto data = snapshot.Read(progress.snapshot_offset, init_.max_snapshot_chunk);
+  if (!data) {
+    // Tried again after some ticks; the source reports the error.
+    return;
+  }
+  const SnapshotMeta& meta = snapshot.meta();
   RaftMessage chunk;
   chunk.kind = RaftKind::kSnapshot;
   chunk.to = id;
-  chunk.index = snapshot.meta.index;
-  chunk.log_term = snapshot.meta.term;
-  chunk.snapshot_time_ms = snapshot.meta.time_ms;
-  chunk.snapshot_config = snapshot.meta.config;
+  chunk.index = meta.index;
+  chunk.log_term = meta.term;
+  chunk.snapshot_time_ms = meta.time_ms;
+  chunk.snapshot_config = meta.config;
   chunk.snapshot_offset = progress.snapshot_offset;
-  chunk.snapshot_total = snapshot.data.size();
-  chunk.snapshot_data =
-      snapshot.data.substr(progress.snapshot_offset, init_.max_snapshot_chunk);
-  progress.chunk_due = false;
-  progress.chunk_tick = tick_;
+  chunk.snapshot_total = snapshot.size();
+  chunk.snapshot_data = std::move(*data);
   Send(std::move(chunk));
 }
 
--- a/src/log_replica_p.h
+++ b/src/log_replica_p.h
@@ -28,7 +28,7 @@
   uint64_t read_round = 0;
   bool active = false;  ///< Heard since the last quorum check.
   int64_t heard_tick = 0;
-  std::shared_ptr<const Snapshot> snapshot;
+  std::shared_ptr<const SnapshotSourceI> snapshot;
   uint64_t snapshot_offset = 0;
   bool chunk_due = false;
   int64_t chunk_tick = 0;
--- a/src/log_wal.cc
+++ b/src/log_wal.cc
@@ -8,6 +8,7 @@
 
 #include "log_codec_p.h"
 #include "log_record_p.h"
+#include "log_snapshot_file_p.h"
 
 namespace ring {
 namespace {
@@ -173,21 +174,40 @@
   return Done{};
 }
 
-// Image of a machine that saves its state at once.
+// Image of a state that is held as bytes.
 class SavedImage final : public StateImageI {
  public:
-  explicit SavedImage(std::string state) : state_(std::move(state)) {}
+  explicit SavedImage(std::string state)
+      : owned_(std::move(state)), state_(owned_) {}
+  /// @param state outlives the image
+  explicit SavedImage(std::string_view state) : state_(state) {}
   bool Append(size_t bytes, std::string& out) override {
-    out.append(state_, offset_, bytes);
+    out.append(state_.substr(offset_, bytes));
     offset_ = std::min(offset_ + bytes, state_.size());
     return offset_ < state_.size();
   }
 
  private:
-  const std::string state_;
+  const std::string owned_;
+  const std::string_view state_;
   size_t offset_ = 0;
 };
 
+// Collects the pieces for a machine that loads them as a whole.
+class WholeLoader final : public StateLoaderI {
+ public:
+  explicit WholeLoader(StateMachineI& machine) : machine_(machine) {}
+  Status Append(std::string_view bytes) override {
+    state_ += bytes;
+    return Done{};
+  }
+  Status Finish() override { return machine_.Load(state_); }
+
+ private:
+  StateMachineI& machine_;
+  std::string state_;
+};
+
 }  // namespace
 
 std::string EncodeSnapshotFile(const Snapshot& snapshot) {
@@ -237,6 +257,10 @@
   return std::make_unique<SavedImage>(Save());
 }
 
+std::unique_ptr<StateLoaderI> StateMachineI::BeginLoad() {
+  return std::make_unique<WholeLoader>(*this);
+}
+
 Status Wal::Initialize(DiskI& disk,
                        const WalIdentity& identity,
                        const std::vector<Member>& initial_members) {
@@ -307,12 +331,11 @@
 }
 
 Status Wal::Recover() {
-  auto snapshot = LoadSnapshot();
+  const auto snapshot = SnapshotFile::Open(disk_, kSnapshotFile);
   if (!snapshot) {
     return snapshot.refusal();
   }
-  recovered_.snapshot = snapshot->meta;
-  recovered_state_ = std::move(snapshot->data);
+  recovered_.snapshot = (*snapshot)->meta();
   const auto bytes = disk_.Read(kLogFile);
   if (!bytes) {
     return bytes.refusal();
@@ -380,18 +403,16 @@
                          uint64_t start_term,
                          const std::vector<LogEntry>& entries) {
   // Overtakes a snapshot that is being written.
-  image_.reset();
-  Status status = CheckUsable();
-  if (!status) {
-    return status;
-  }
-  status = disk_.Replace(kSnapshotFile, EncodeSnapshotFile(snapshot));
-  if (!status) {
-    failed_ = true;
-    return status;
+  BeginSnapshot(snapshot.meta,
+                std::make_unique<SavedImage>(std::string_view(snapshot.data)));
+  for (bool complete = false; !complete;) {
+    const auto written = WriteSnapshotPiece();
+    if (!written) {
+      return written.refusal();
+    }
+    complete = *written;
   }
-  return RewriteLog(
-      {hard_state, snapshot.meta, start_index, start_term, entries});
+  return FinishSnapshot(hard_state, start_index, start_term, entries);
 }
 
 void Wal::BeginSnapshot(const SnapshotMeta& meta,
@@ -422,6 +443,7 @@
   const Status status =
       disk_.RewriteTail(kWritingFile, written_bytes_, records);
   if (!status) {
+    image_.reset();
     failed_ = true;
     return status.refusal();
   }
@@ -444,6 +466,28 @@
                 : status;
 }
 
+Outcome<std::shared_ptr<const SnapshotSourceI>> Wal::OpenSnapshot() const {
+  const auto file = SnapshotFile::Open(disk_, kSnapshotFile);
+  if (!file) {
+    return file.refusal();
+  }
+  return std::shared_ptr<const SnapshotSourceI>(*file);
+}
+
+Status Wal::LoadState(StateMachineI& machine) const {
+  const auto file = SnapshotFile::Open(disk_, kSnapshotFile);
+  if (!file) {
+    return file.refusal();
+  }
+  if ((*file)->size() == 0) {
+    return Done{};
+  }
+  const auto loader = machine.BeginLoad();
+  const Status status = (*file)->ForEachPiece(
+      [&](std::string_view piece) { return loader->Append(piece); });
+  return status ? loader->Finish() : status;
+}
+
 Outcome<Snapshot> Wal::LoadSnapshot() const {
   auto bytes = disk_.Read(kSnapshotFile);
   if (!bytes) {
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -294,7 +294,13 @@
 }
 
 Status RingStateMachine::Load(std::string_view snapshot) {
-  return impl_->Load(snapshot);
+  const auto loader = impl_->BeginLoad();
+  const Status status = loader->Append(snapshot);
+  return status ? loader->Finish() : status;
+}
+
+std::unique_ptr<StateLoaderI> RingStateMachine::BeginLoad() {
+  return impl_->BeginLoad();
 }
 
 std::string RingStateMachine::ExpireCommand() const {
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -17,10 +17,11 @@
   std::string Apply(int64_t time_ms, std::string_view command);
   std::string Query(std::string_view query) const;
   std::unique_ptr<StateImageI> Freeze() const;
-  Status Load(std::string_view snapshot);
+  std::unique_ptr<StateLoaderI> BeginLoad();
 
  private:
   class Image;
+  class Loader;
   /// Never changes once kept, so that images share it.
   struct KeptTurn {
     std::string id;
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -25,6 +25,14 @@
   out.append(PaddingOf(builder.GetSize()), '\0');
 }
 
+// A size that no record has stands for damage, which TakeRecord finds.
+bool HoldsRecord(std::string_view in) {
+  uint64_t size = 0;
+  constexpr uint64_t kMaxRecordBytes = 1u << 30;
+  return TakeValue(in, size) &&
+         (size > kMaxRecordBytes || in.size() >= size + PaddingOf(size));
+}
+
 // Takes the next record off the front.
 template <typename T>
 bool TakeRecord(std::string_view& in, T& record) {
@@ -152,49 +160,174 @@
   return row;
 }
 
-Status RingStateMachine::Impl::Load(std::string_view sealed) {
-  const auto opened = OpenSnapshot(kSnapshotMagic, kSnapshotVersion, sealed);
-  if (!opened) {
-    return opened.refusal();
+// Decodes records as soon as they are whole. The last bytes are held back: they
+// may be the checksum.
+class RingStateMachine::Impl::Loader final : public StateLoaderI {
+ public:
+  explicit Loader(Impl& machine) : machine_(machine) {}
+
+  Status Append(std::string_view bytes) override {
+    held_ += bytes;
+    if (held_.size() < sizeof(uint64_t)) {
+      return Done{};
+    }
+    std::string_view left =
+        std::string_view(held_).substr(0, held_.size() - sizeof(uint64_t));
+    const size_t before = left.size();
+    while (Step(left)) {
+    }
+    if (problem_) {
+      return *problem_;
+    }
+    const size_t taken = before - left.size();
+    checksum_.Add(std::string_view(held_).substr(0, taken));
+    held_.erase(0, taken);
+    return Done{};
   }
-  std::string_view body = *opened;
-  fb::RingStateSnapshotT head;
-  uint64_t programs = 0;
-  uint64_t turns = 0;
-  if (!TakeRecord(body, head) || !TakeValue(body, programs)) {
-    return Corrupt("head", body.size());
+
+  Status Finish() override {
+    std::string_view left = held_;
+    uint64_t checksum = 0;
+    if (part_ != Part::kTurns || left_in_part_ > 0 ||
+        left.size() != sizeof(uint64_t) || !TakeValue(left, checksum) ||
+        checksum != checksum_.value()) {
+      return Corrupt("end", left_in_part_);
+    }
+    machine_.NotifyAll();
+    return Done{};
+  }
+
+ private:
+  enum class Part {
+    kStart,
+    kHead,
+    kProgramCount,
+    kPrograms,
+    kTurnCount,
+    kTurns
+  };
+
+  // Takes the next record, if it is whole, and goes on to the next part.
+  bool Step(std::string_view& left) {
+    switch (part_) {
+      case Part::kStart:
+        return TakeStart(left);
+      case Part::kHead:
+        return TakeHead(left);
+      case Part::kProgramCount:
+        return TakeCount(left, Part::kPrograms);
+      case Part::kPrograms:
+        if (left_in_part_ == 0) {
+          part_ = Part::kTurnCount;
+          return true;
+        }
+        return TakeProgram(left);
+      case Part::kTurnCount:
+        return TakeCount(left, Part::kTurns);
+      case Part::kTurns:
+        return left_in_part_ > 0 && TakeTurn(left);
+    }
+    return false;
+  }
+
+  bool Fail(const Refusal& refusal) {
+    problem_ = refusal;
+    return false;
+  }
+
+  bool TakeStart(std::string_view& left) {
+    uint32_t magic = 0;
+    uint32_t version = 0;
+    if (left.size() < sizeof(magic) + sizeof(version)) {
+      return false;
+    }
+    TakeValue(left, magic);
+    TakeValue(left, version);
+    if (magic != kSnapshotMagic) {
+      return Fail(Corrupt("start", 0));
+    }
+    if (version != kSnapshotVersion) {
+      return Fail({Reason::kVersionMismatch, RunState::kNotRun,
+                   "snapshot format " + std::to_string(version) +
+                       ", this program reads " +
+                       std::to_string(kSnapshotVersion)});
+    }
+    part_ = Part::kHead;
+    return true;
   }
-  LoadHead(std::move(head));
-  for (; programs > 0; --programs) {
+
+  bool TakeCount(std::string_view& left, Part next) {
+    if (!TakeValue(left, left_in_part_)) {
+      return false;
+    }
+    part_ = next;
+    return true;
+  }
+
+  // @returns false if the record is not whole yet or cannot be decoded
+  template <typename T>
+  bool Take(std::string_view& left, T& record) {
+    if (!HoldsRecord(left)) {
+      return false;
+    }
+    return TakeRecord(left, record) || Fail(Corrupt("records", left_in_part_));
+  }
+
+  bool TakeHead(std::string_view& left) {
+    fb::RingStateSnapshotT head;
+    if (!Take(left, head)) {
+      return false;
+    }
+    machine_.LoadHead(std::move(head));
+    part_ = Part::kProgramCount;
+    return true;
+  }
+
+  bool TakeProgram(std::string_view& left) {
     fb::ProgramLedgerT row;
-    if (!TakeRecord(body, row)) {
-      return Corrupt("programs", programs);
+    if (!Take(left, row)) {
+      return false;
     }
-    Program& program = programs_[row.program];
+    --left_in_part_;
+    Program& program = machine_.programs_[row.program];
     program.spent_tokens = row.spent_tokens;
     program.touched_ms = row.touched_ms;
     for (const auto& open : row.open_turns) {
       program.open[open->turn] = open->max_tokens;
     }
+    return true;
   }
-  if (!TakeValue(body, turns)) {
-    return Corrupt("turns", body.size());
-  }
-  for (; turns > 0; --turns) {
+
+  bool TakeTurn(std::string_view& left) {
     fb::KeptTurnT row;
-    if (!TakeRecord(body, row) || !row.text) {
-      return Corrupt("turns", turns);
+    if (!Take(left, row)) {
+      return false;
     }
+    if (!row.text) {
+      return Fail(Corrupt("turns", left_in_part_));
+    }
+    --left_in_part_;
     auto turn = std::make_shared<KeptTurn>();
     turn->id = std::move(row.text->turn);
     turn->previous = std::move(row.text->previous);
     turn->text = std::move(row.text->text);
     turn->upstream = std::move(row.upstream);
     // Turns are saved in the order of their ids.
-    turns_.emplace_hint(turns_.end(), turn->id, TurnSlot{turn, row.expires_ms});
+    machine_.turns_.emplace_hint(machine_.turns_.end(), turn->id,
+                                 TurnSlot{turn, row.expires_ms});
+    return true;
   }
-  NotifyAll();
-  return Done{};
+
+  Impl& machine_;
+  std::string held_;
+  RunningChecksum checksum_;
+  Part part_ = Part::kStart;
+  uint64_t left_in_part_ = 0;
+  std::optional<Refusal> problem_;
+};
+
+std::unique_ptr<StateLoaderI> RingStateMachine::Impl::BeginLoad() {
+  return std::make_unique<Loader>(*this);
 }
 
 void RingStateMachine::Impl::LoadHead(fb::RingStateSnapshotT head) {
--- a/tests/keeper_host_fixture.h
+++ b/tests/keeper_host_fixture.h
@@ -65,6 +65,10 @@
   Outcome<std::string> Read(const std::string& name) override {
     return disk_.Read(name);
   }
+  Outcome<std::shared_ptr<const FileI>> OpenFile(
+      const std::string& name) override {
+    return disk_.OpenFile(name);
+  }
   Status Append(const std::string& name, std::string_view bytes) override {
     return control_->failing ? Failure() : disk_.Append(name, bytes);
   }
--- a/tests/log_cluster.h
+++ b/tests/log_cluster.h
@@ -77,9 +77,7 @@
     init.seed = seed_ * 100 + id;
     init.max_snapshot_chunk = 16;
     init.max_append_bytes = 64;
-    init.load_snapshot = [&node] {
-      return std::make_shared<const Snapshot>(*node.wal->LoadSnapshot());
-    };
+    init.load_snapshot = [&node] { return *node.wal->OpenSnapshot(); };
     node.state = node.wal->LoadSnapshot()->data;
     node.applied.clear();
     node.replica = std::make_unique<Replica>(init, node.wal->recovered());
--- a/tests/log_wal_test.cc
+++ b/tests/log_wal_test.cc
@@ -194,7 +194,9 @@
     const FakeDisk::Medium saved = *medium_;
     WriteThree();
     auto wal = Open();
-    medium_->fail_at = medium_->operations + 2;
+    // The third operation replaces the log; the first two write the snapshot
+    // and put it in place.
+    medium_->fail_at = medium_->operations + 3;
     EXPECT_FALSE((*wal)->SaveSnapshot({test.meta, "state"}, {2, 0}, 9, 2, {}));
     FakeDisk::CutPower(*medium_);
     const auto reopened = Open();
@@ -319,7 +321,36 @@
   ASSERT_TRUE(reopened) << reopened.refusal().message;
   EXPECT_EQ((*reopened)->recovered().snapshot, meta);
   EXPECT_EQ((*reopened)->recovered().entries, later);
-  EXPECT_EQ((*reopened)->TakeRecoveredState(), state);
+  const auto snapshot = (*reopened)->LoadSnapshot();
+  ASSERT_TRUE(snapshot);
+  EXPECT_EQ(*snapshot, (Snapshot{meta, state}));
+}
+
+// Guards against a member that receives the parts of two snapshots: the leader
+// saves the next one while it sends one.
+TEST_F(WalTest, SnapshotReadInChunks_IsThatOfTheTimeItWasOpened) {
+  std::string state(2u << 20, '\0');
+  for (size_t i = 0; i < state.size(); ++i) {
+    state[i] = static_cast<char>(i * 31 + i / 1'000);
+  }
+  auto wal = Open();
+  const SnapshotMeta meta = {1, 1, 100, {members_}};
+  ASSERT_TRUE((*wal)->SaveSnapshot({meta, state}, {1, 0}, 1, 1, {}));
+  const auto source = (*wal)->OpenSnapshot();
+  ASSERT_TRUE(source);
+  ASSERT_TRUE((*wal)->SaveSnapshot({meta, "next"}, {1, 0}, 1, 1, {}));
+  EXPECT_EQ((*source)->meta(), meta);
+  EXPECT_EQ((*source)->size(), state.size());
+  constexpr size_t kChunk = 100'001;
+  std::string read;
+  while (read.size() < state.size()) {
+    const auto chunk = (*source)->Read(read.size(), kChunk);
+    ASSERT_TRUE(chunk);
+    ASSERT_FALSE(chunk->empty());
+    read += *chunk;
+  }
+  EXPECT_EQ(read, state);
+  EXPECT_TRUE((*source)->Read(state.size(), kChunk)->empty());
 }
 
 // Guards against a keeper that does not start after a crash while a snapshot is
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -249,6 +249,38 @@
   EXPECT_NE(machine_.Save(), before);
 }
 
+// Guards against a start that fails where a piece of the snapshot ends inside a
+// record.
+TEST_F(RingStateTest, LoadedInPiecesOfAnySize_IsTheSameState) {
+  KeepChain();
+  Begin("open", "", 250);
+  Apply(state_codec::EncodePutConfiguration(3, "three"));
+  const std::string saved = machine_.Save();
+  for (size_t size = 1; size <= saved.size(); ++size) {
+    RingStateMachine copy{RingStateMachine::Init{}, nullptr};
+    const auto loader = copy.BeginLoad();
+    for (size_t at = 0; at < saved.size(); at += size) {
+      ASSERT_TRUE(loader->Append(std::string_view(saved).substr(at, size)));
+    }
+    ASSERT_TRUE(loader->Finish()) << size;
+    ASSERT_EQ(copy.Save(), saved) << size;
+  }
+}
+
+// Guards against a snapshot that was cut short or changed and counts as whole.
+TEST_F(RingStateTest, DamagedSnapshot_IsRefusedAtEveryByte) {
+  KeepChain();
+  const std::string saved = machine_.Save();
+  for (size_t i = 0; i < saved.size(); ++i) {
+    std::string changed = saved;
+    changed[i] = static_cast<char>(changed[i] ^ 0x10);
+    RingStateMachine copy{RingStateMachine::Init{}, nullptr};
+    EXPECT_FALSE(copy.Load(changed)) << i;
+    RingStateMachine other{RingStateMachine::Init{}, nullptr};
+    EXPECT_FALSE(other.Load(std::string_view(saved).substr(0, i))) << i;
+  }
+}
+
 // Guards against a crash by bytes that are no command.
 TEST_F(RingStateTest, DamagedCommand_IsRefused) {
   const auto result =
