Tell entries nothing before a keeper has applied its log

Ruled out: asking the leader for the first configuration; upstreams would stay wrong, and entries could not start without a majority. Change: a group reports that it has settled once an entry of its leader's term is applied; the registrar welcomes entries then, or after 3 s without a majority.

Also: ringctl explain ID FILES shows from collected logs what happened to a request, what its entry and the keepers believed, and the cause.

--- a/apps/ringctl/commands.h
+++ b/apps/ringctl/commands.h
@@ -35,6 +35,7 @@
 void AddProgramCommands(CLI::App& app, GlobalOptions& options, int& exit_code);
 void AddBackupCommands(CLI::App& app, GlobalOptions& options, int& exit_code);
 void AddInspectCommand(CLI::App& app, GlobalOptions& options, int& exit_code);
+void AddExplainCommand(CLI::App& app, GlobalOptions& options, int& exit_code);
 void AddEntryCommands(CLI::App& app, GlobalOptions& options, int& exit_code);
 
 }  // namespace ring
--- /dev/null
+++ b/apps/ringctl/explain_command.cc
@@ -0,0 +1,78 @@
+#include <fstream>
+#include <iostream>
+#include <memory>
+
+#include "commands.h"
+#include "output.h"
+#include "persimmonring/explain.h"
+
+namespace ring {
+namespace {
+
+using nlohmann::json;
+
+struct ExplainOptions {
+  std::string request;
+  std::vector<std::string> files;
+};
+
+json LinesJson(const std::vector<LogLine>& lines) {
+  json rows = json::array();
+  for (const LogLine& line : lines) {
+    rows.push_back(line.text);
+  }
+  return rows;
+}
+
+void PrintLines(const char* title, const std::vector<LogLine>& lines) {
+  std::cout << title << "\n";
+  for (const LogLine& line : lines) {
+    std::cout << "  " << line.text << "\n";
+  }
+}
+
+int RunExplain(const ExplainOptions& options, bool as_json) {
+  Explainer explainer(options.request);
+  for (const std::string& name : options.files) {
+    std::ifstream file(name);
+    if (!file) {
+      return Fail(kExitUsage, "cannot read " + name);
+    }
+    explainer.Read(file);
+  }
+  const auto explanation = explainer.Explain();
+  if (!explanation) {
+    return Fail(kExitFailure, explanation.refusal().message);
+  }
+  if (as_json) {
+    PrintJson({{"request", LinesJson(explanation->request)},
+               {"beliefs", LinesJson(explanation->beliefs)},
+               {"cause", explanation->cause},
+               {"next_step", explanation->next_step}});
+    return kExitOk;
+  }
+  PrintLines("The request:", explanation->request);
+  PrintLines("What was believed around it:", explanation->beliefs);
+  std::cout << "Cause: " << explanation->cause << "\n";
+  if (!explanation->next_step.empty()) {
+    std::cout << "Next: " << explanation->next_step << "\n";
+  }
+  return kExitOk;
+}
+
+}  // namespace
+
+void AddExplainCommand(CLI::App& app, GlobalOptions& options, int& exit_code) {
+  auto chosen = std::make_shared<ExplainOptions>();
+  CLI::App* command = app.add_subcommand(
+      "explain", "Explain the end of a request from collected logs");
+  command->add_option("request", chosen->request, "Id of the request")
+      ->required();
+  command->add_option("files", chosen->files, "Logs of entries and keepers")
+      ->required();
+  command->callback([chosen, &options, &exit_code] {
+    exit_code = RunExplain(*chosen, options.json);
+  });
+}
+
+}  // namespace ring
--- a/apps/ringctl/main.cc
+++ b/apps/ringctl/main.cc
@@ -93,6 +93,7 @@
   AddProgramCommands(app, options, exit_code);
   AddBackupCommands(app, options, exit_code);
   AddInspectCommand(app, options, exit_code);
+  AddExplainCommand(app, options, exit_code);
   AddEntryCommands(app, options, exit_code);
   try {
     app.parse(argc, argv);
--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -70,6 +70,9 @@
   /// Called on the thread of a group after its members have changed.
   std::function<void(const std::string& group, const LogConfig& config)>
       on_members;
+  /// Called by a group's thread when its state is as new as the ring's was when
+  /// the group was opened; until then it may lack what was committed.
+  std::function<void(const std::string& group)> on_settled;
   /// Addresses whose voters are to be replaced; called on the thread of a
   /// group.
   std::function<std::set<std::string>()> retired_nodes;
--- a/include/persimmonring/registrar.h
+++ b/include/persimmonring/registrar.h
@@ -71,6 +71,8 @@
 
   // For the host's settings; thread-safe.
   void OnMembers(const LogConfig& config);
+  /// Entries are told nothing before this, or before a bound of some seconds.
+  void OnSettled();
   /// @returns addresses of keepers that are to be emptied
   std::set<std::string> retired() const;
   void OnLocalReply(const Frame& frame);
--- /dev/null
+++ b/src/explain_explain.cc
@@ -0,0 +1,268 @@
+#include "persimmonring/explain.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <ctime>
+
+namespace ring {
+namespace {
+
+// Beliefs this long before the end of the request may have decided it: twice
+// the longest election, and the time after which a silent upstream is given up.
+constexpr int64_t kBeforeMs = 6'000;
+// Clocks of processes differ, and an event is noticed elsewhere a little later.
+constexpr int64_t kAfterMs = 500;
+constexpr int64_t kMsPerSecond = 1'000;
+// Lines shown of each event, the latest ones.
+constexpr size_t kShownOfEvent = 6;
+
+constexpr std::array<std::string_view, 18> kBeliefEvents = {
+    "configuration_installed",
+    "configuration_applied",
+    "draining",
+    "group_opened",
+    "keeper_connected",
+    "keeper_lost",
+    "keepers_heard_again",
+    "keepers_silent",
+    "leader_changed",
+    "members_changed",
+    "started",
+    "starting",
+    "store_failed",
+    "upstream_announced",
+    "upstream_departs",
+    "upstream_reported",
+    "upstream_silent",
+    "upstream_suspected"};
+
+struct Meaning {
+  std::string_view reason;
+  std::string_view cause;
+  std::string_view next_step;
+};
+
+constexpr std::array<Meaning, 14> kMeanings = {{
+    {"no_quorum", "the keepers of the ring state did not answer in time",
+     "leader_changed on keepers: an election of about a second; keepers_silent "
+     "or keeper_lost on this entry alone: it was cut off"},
+    {"no_upstream", "no upstream of the service was ready",
+     "upstream_departs and upstream_silent lines name those that left"},
+    {"budget_exceeded",
+     "the program's tokens are spent, or reserved by its open turns", ""},
+    {"unknown_program",
+     "the previous turn was never answered whole or is older than its "
+     "retention",
+     "look for the line of the previous turn's own request"},
+    {"unknown_path", "no route of the configuration matches host and path",
+     "configuration_installed lines give the versions of the entry"},
+    {"draining", "the entry was stopping", "the caller tries another entry"},
+    {"deadline_passed", "the time of the request ended first",
+     "begun_ms, sent_ms and head_ms of the line say where it was spent"},
+    {"caller_gone", "the caller closed its connection",
+     "head_ms=0: the upstream had not begun to answer"},
+    {"upstream_refused", "no upstream accepted the request",
+     "upstream_suspected lines name the upstreams"},
+    {"upstream_reset", "the upstream's connection was reset",
+     "upstream_suspected lines of other entries tell whether it ended"},
+    {"upstream_truncated", "the upstream broke off its answer",
+     "upstream_suspected lines of other entries tell whether it ended"},
+    {"upstream_timeout", "the upstream did not begin to answer in time",
+     "upstream_suspected lines of other entries tell whether it hangs"},
+    {"upstream_error", "the upstream answered with bytes that are no answer",
+     ""},
+    {"bad_request", "the request could not be read", ""},
+}};
+
+int64_t ParseTimeMs(std::string_view text) {
+  const std::string copy(text);
+  std::tm time = {};
+  int ms = 0;
+  constexpr int kFields = 7;
+  constexpr int kFirstYear = 1900;
+  if (std::sscanf(copy.c_str(), "%d-%d-%dT%d:%d:%d.%dZ", &time.tm_year,
+                  &time.tm_mon, &time.tm_mday, &time.tm_hour, &time.tm_min,
+                  &time.tm_sec, &ms) != kFields) {
+    return 0;
+  }
+  time.tm_year -= kFirstYear;
+  time.tm_mon -= 1;
+  return static_cast<int64_t>(timegm(&time)) * kMsPerSecond + ms;
+}
+
+// Takes the next word off the front; quoted parts may hold spaces.
+std::string TakeWord(std::string_view& text) {
+  text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+  std::string word;
+  bool quoted = false;
+  size_t i = 0;
+  for (; i < text.size() && (quoted || text[i] != ' '); ++i) {
+    if (quoted && text[i] == '\\' && i + 1 < text.size()) {
+      word.push_back(text[++i]);
+    } else if (text[i] == '"') {
+      quoted = !quoted;
+    } else {
+      word.push_back(text[i]);
+    }
+  }
+  text.remove_prefix(i);
+  return word;
+}
+
+bool ByTime(const LogLine& a, const LogLine& b) {
+  return a.time_ms < b.time_ms;
+}
+
+// A belief matters if it is of the request's entry, of its upstream, or of the
+// ring as a whole.
+bool Concerns(const LogLine& belief, const LogLine& end) {
+  const std::string& upstream = belief.Field("upstream");
+  if (!upstream.empty()) {
+    const std::string& used = end.Field("upstream");
+    return used.empty() ? belief.Field("node") == end.Field("node") ||
+                              belief.event != "upstream_reported"
+                        : upstream == used;
+  }
+  const bool of_ring =
+      belief.event == "leader_changed" || belief.event == "members_changed" ||
+      belief.event == "group_opened" || belief.event == "store_failed";
+  return of_ring || belief.Field("node") == end.Field("node");
+}
+
+// The latest lines of each event, so that one event does not hide the others.
+std::vector<LogLine> Latest(std::vector<LogLine> lines) {
+  std::map<std::string, size_t> shown;
+  std::vector<LogLine> kept;
+  for (auto it = lines.rbegin(); it != lines.rend(); ++it) {
+    if (++shown[it->event] <= kShownOfEvent) {
+      kept.push_back(std::move(*it));
+    }
+  }
+  std::reverse(kept.begin(), kept.end());
+  return kept;
+}
+
+void AddCause(const LogLine& end, Explanation& explanation) {
+  const std::string& reason = end.Field("reason");
+  const std::string& outcome = end.Field("outcome");
+  if (outcome == "answered") {
+    explanation.cause = "the request was answered with status " +
+                        end.Field("status") + " after " + end.Field("took_ms") +
+                        " ms";
+    return;
+  }
+  if (outcome == "turn_not_recorded") {
+    explanation.cause =
+        "the upstream answered, but the keepers did not confirm the record of "
+        "the turn, so that the caller's connection was cut";
+    explanation.next_step = std::string(kMeanings[0].next_step);
+    return;
+  }
+  const auto* found =
+      std::find_if(kMeanings.begin(), kMeanings.end(),
+                   [&](const Meaning& item) { return item.reason == reason; });
+  explanation.cause =
+      found == kMeanings.end() ? "reason " + reason : std::string(found->cause);
+  if (found != kMeanings.end()) {
+    explanation.next_step = std::string(found->next_step);
+  }
+  const std::string& run = end.Field("run");
+  explanation.cause += run == "not_run"   ? "; it did not run"
+                       : run == "unknown" ? "; it may have run"
+                                          : "; it ran";
+}
+
+}  // namespace
+
+const std::string& LogLine::Field(const std::string& name) const {
+  static const std::string none;
+  const auto found = fields.find(name);
+  return found == fields.end() ? none : found->second;
+}
+
+std::optional<LogLine> ParseLogLine(std::string_view text) {
+  LogLine line;
+  line.text = text;
+  std::string_view left = text;
+  while (!left.empty()) {
+    const std::string word = TakeWord(left);
+    const size_t equals = word.find('=');
+    if (equals == std::string::npos) {
+      const int64_t time_ms = line.time_ms == 0 ? ParseTimeMs(word) : 0;
+      line.time_ms = time_ms != 0 ? time_ms : line.time_ms;
+    } else if (line.time_ms != 0) {
+      line.fields[word.substr(0, equals)] = word.substr(equals + 1);
+    }
+  }
+  line.event = line.Field("event");
+  return line.event.empty() ? std::nullopt : std::optional(std::move(line));
+}
+
+void Explainer::Read(std::istream& log) {
+  const std::string wanted = "=" + request_;
+  std::string text;
+  while (std::getline(log, text)) {
+    const bool names = text.find(wanted) != std::string::npos;
+    const size_t at = text.find("event=");
+    if (at == std::string::npos) {
+      continue;
+    }
+    std::string_view event = std::string_view(text).substr(at);
+    event.remove_prefix(std::string_view("event=").size());
+    event = event.substr(0, event.find(' '));
+    const bool belief = std::find(kBeliefEvents.begin(), kBeliefEvents.end(),
+                                  event) != kBeliefEvents.end();
+    if (!names && !belief) {
+      continue;
+    }
+    if (auto line = ParseLogLine(text)) {
+      const bool of_request = line->Field("request") == request_;
+      if (of_request) {
+        named_.push_back(std::move(*line));
+      } else if (belief) {
+        others_.push_back(std::move(*line));
+      }
+    }
+  }
+}
+
+Outcome<Explanation> Explainer::Explain() const {
+  if (named_.empty()) {
+    return Refusal{Reason::kUnknownPath, RunState::kNotRun,
+                   "no line of the logs names request " + request_ +
+                       "; was it sent to another ring, or have its lines been "
+                       "dropped (log_lines_dropped)?"};
+  }
+  Explanation explanation;
+  explanation.request = named_;
+  std::stable_sort(explanation.request.begin(), explanation.request.end(),
+                   ByTime);
+  const auto end =
+      std::find_if(explanation.request.begin(), explanation.request.end(),
+                   [](const LogLine& line) { return line.event == "request"; });
+  if (end == explanation.request.end()) {
+    explanation.cause =
+        "the request has no end in the logs: its entry ended or was cut off "
+        "while it was open";
+    explanation.next_step = "starting and stopped lines of the entry";
+    return explanation;
+  }
+  int64_t took_ms = 0;
+  const std::string& took = end->Field("took_ms");
+  std::from_chars(took.data(), took.data() + took.size(), took_ms);
+  for (const LogLine& line : others_) {
+    if (line.time_ms >= end->time_ms - took_ms - kBeforeMs &&
+        line.time_ms <= end->time_ms + kAfterMs && Concerns(line, *end)) {
+      explanation.beliefs.push_back(line);
+    }
+  }
+  std::stable_sort(explanation.beliefs.begin(), explanation.beliefs.end(),
+                   ByTime);
+  explanation.beliefs = Latest(std::move(explanation.beliefs));
+  AddCause(*end, explanation);
+  return explanation;
+}
+
+}  // namespace ring
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -66,6 +66,7 @@
 Status GroupHost::Open() {
   replica_.reset();
   wal_.reset();
+  settled_ = false;
   auto wal = Wal::Open(*disk_, {.identity = init_.identity});
   if (!wal) {
     return wal.refusal();
@@ -229,6 +230,7 @@
   Apply(ready.committed);
   AnswerReads(ready);
   NoteLeader();
+  NoteSettled();
   return Done{};
 }
 
@@ -370,6 +372,22 @@
       .Add("role", ToString(status.role));
 }
 
+// Once an entry of the leader's term is applied, so is all that was committed
+// before this process started.
+void GroupHost::NoteSettled() {
+  if (settled_ || known_leader_ == 0 ||
+      replica_->AppliedMeta().term != known_term_) {
+    return;
+  }
+  settled_ = true;
+  Event(LogLevel::kInfo, "group_settled")
+      .Add("group", name())
+      .Add("index", replica_->AppliedMeta().index);
+  if (init_.on_settled) {
+    init_.on_settled(name());
+  }
+}
+
 // The entries may still be committed by the next leader.
 void GroupHost::FailPending(uint64_t kept_term, const std::string& message) {
   std::vector<Caller> callers;
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -65,6 +65,7 @@
     size_t max_learners = SIZE_MAX;
     std::function<void(const std::string& group, const LogConfig& config)>
         on_members;
+    std::function<void(const std::string& group)> on_settled;
     std::function<std::set<std::string>()> retired_nodes;
   };
 
@@ -116,6 +117,7 @@
   Status SnapshotIfDue();
   Status ContinueSnapshot();
   void NoteLeader();
+  void NoteSettled();
   /// @param kept_term proposals of this term go on waiting; 0: none
   void FailPending(uint64_t kept_term, const std::string& message);
   void FailQueries(const std::string& message);
@@ -168,6 +170,7 @@
   std::vector<Query> new_queries_;
   std::map<uint64_t, std::vector<Query>> queries_;  // By barrier id.
   uint64_t next_barrier_ = 1;
+  bool settled_ = false;  ///< Since the group was opened.
   int64_t next_tick_ms_ = 0;
   int64_t next_second_ms_ = 0;
   uint64_t expire_index_ = 0;
--- a/src/keeper_host.cc
+++ b/src/keeper_host.cc
@@ -103,6 +103,7 @@
     group.max_voters = init_.max_voters;
     group.max_learners = init_.max_learners;
     group.on_members = init_.on_members;
+    group.on_settled = init_.on_settled;
     group.retired_nodes = init_.retired_nodes;
     group.seed = init_.seed == 0 ? RandomSeed() : init_.seed + groups_.size();
     group.create_machine = [this, name = spec.group] {
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr int64_t kSilenceCheckMs = 500;
+// A started keeper without a majority tells entries what it holds after this
+// time: several elections. Tool calls are then served with an old configuration
+// rather than not at all.
+constexpr int64_t kSettleMs = 3'000;
 // Registrations are repeated long before the log forgets them (10 minutes).
 constexpr int64_t kRegisterAgainMs = 240'000;
 // Keepers and entries are told of keepers and the configuration again after
@@ -77,6 +81,7 @@
   void OnSessionEnd(SessionHandle session);
   void OnKeeperList(const std::string& payload);
   void OnMembers(const LogConfig& config);
+  void OnSettled();
   void OnConfiguration(uint64_t version);
   void OnDeparture(const UpstreamDeparture& departure);
   void OnRegistered(const fb::RegisterUpstreamT& upstream);
@@ -118,6 +123,8 @@
                      std::optional<SessionHandle> only);
   void PushConfigNotice(std::optional<SessionHandle> only);
   void PushKeepers(std::optional<SessionHandle> only);
+  /// Tells an entry all that is known.
+  void Welcome(SessionHandle session);
   void SendToEntries(const Frame& frame, std::optional<SessionHandle> only);
 
   const RegistrarInit init_;
@@ -134,6 +141,7 @@
   std::map<std::string, std::string> vms_;  // VM to the address of its keeper.
   LogConfig members_;
   uint64_t version_ = 0;
+  bool settled_ = false;
 };
 
 void Registrar::Impl::Start(KeeperHost& host, HubI& hub) {
@@ -144,6 +152,7 @@
       std::make_unique<StateClient>(StateClient::Init{}, *local_hub_, loop_);
   state_->OnOpened(kLocalSession, init_.node);
   AddKeepers(init_.keepers);
+  loop_.After(kSettleMs, [this] { OnSettled(); });
   loop_.Every(kSilenceCheckMs, [this] { CheckSilence(); });
   loop_.Every(kRepeatMs, [this] {
     PushKeepers(std::nullopt);
@@ -320,8 +329,11 @@
   if (only) {
     return send(*only);
   }
-  for (const auto& [session, node] : entries_) {
-    send(session);
+  // Entries that wait are told all at once by Welcome.
+  if (settled_) {
+    for (const auto& [session, node] : entries_) {
+      send(session);
+    }
   }
 }
 
@@ -414,6 +426,23 @@
     return PushKeepers(session);
   }
   entries_[session] = node;
+  if (settled_) {
+    Welcome(session);
+  }
+}
+
+// A keeper that has read its snapshot, but has not applied its log yet, knows
+// an old configuration and upstreams that have left since.
+void Registrar::Impl::OnSettled() {
+  if (std::exchange(settled_, true)) {
+    return;
+  }
+  for (const auto& [session, node] : entries_) {
+    Welcome(session);
+  }
+}
+
+void Registrar::Impl::Welcome(SessionHandle session) {
   std::vector<const Heard*> rows;
   for (const auto& [instance, row] : upstreams_) {
     rows.push_back(&row);
@@ -606,6 +635,10 @@
   impl_->loop().Post([this, config] { impl_->OnMembers(config); });
 }
 
+void Registrar::OnSettled() {
+  impl_->loop().Post([this] { impl_->OnSettled(); });
+}
+
 std::set<std::string> Registrar::retired() const {
   std::lock_guard lock(impl_->mutex);
   std::set<std::string> addresses;
--- /dev/null
+++ b/tests/explain_explain_test.cc
@@ -0,0 +1,119 @@
+#include <sstream>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "persimmonring/explain.h"
+
+namespace ring {
+namespace {
+
+using testing::HasSubstr;
+
+constexpr char kSecond[] = "2026-10-19T22:53:02";
+
+class ExplainerTest : public testing::Test {
+ protected:
+  /// Adds a line at a time within the second.
+  void Log(int ms, const std::string& fields, const std::string& node) {
+    char time[40];
+    std::snprintf(time, sizeof(time), "%s.%03dZ", kSecond, ms);
+    log_ << time << " " << fields << " node=" << node << "\n";
+  }
+  Outcome<Explanation> Explain(const std::string& request) {
+    Explainer explainer(request);
+    explainer.Read(log_);
+    return explainer.Explain();
+  }
+
+  std::stringstream log_;
+};
+
+// Guards against fields that are lost after a text with spaces or quotes.
+TEST(ParseLogLine, QuotedValuesAndPrefix_AreTakenApart) {
+  const auto line = ParseLogLine(
+      "entry-1 | 2026-10-19T22:53:02.274Z event=request upstream=\"\" "
+      "detail=\"a \\\"quoted\\\" text\" took_ms=65");
+  ASSERT_TRUE(line);
+  EXPECT_EQ(line->event, "request");
+  EXPECT_EQ(line->time_ms % 1'000, 274);
+  EXPECT_EQ(line->Field("upstream"), "");
+  EXPECT_EQ(line->Field("detail"), "a \"quoted\" text");
+  EXPECT_EQ(line->Field("took_ms"), "65");
+  EXPECT_FALSE(ParseLogLine("no line of a process"));
+}
+
+// Guards against an on-call engineer who takes an election for a cut entry.
+TEST_F(ExplainerTest, TurnRefusedInElection_ShowsLeaderAndCause) {
+  Log(100, "event=leader_changed group=state term=4 leader=0", "keeper-2");
+  Log(200, "event=upstream_suspected upstream=i-2 reason=upstream_reset", "e9");
+  Log(300, "event=keepers_silent heard_ms_ago=915", "entry-1");
+  Log(310, "event=keepers_silent heard_ms_ago=990", "entry-2");
+  Log(400,
+      "event=request request=r1 outcome=refused status=503 reason=no_quorum "
+      "run=not_run upstream=\"\" took_ms=907",
+      "entry-1");
+  Log(420, "event=request request=r11 outcome=answered status=200", "entry-1");
+  const auto explanation = Explain("r1");
+  ASSERT_TRUE(explanation);
+  ASSERT_EQ(explanation->request.size(), 1u);
+  EXPECT_THAT(explanation->cause, HasSubstr("did not answer in time"));
+  EXPECT_THAT(explanation->cause, HasSubstr("did not run"));
+  EXPECT_THAT(explanation->next_step, HasSubstr("election"));
+  std::vector<std::string> events;
+  for (const LogLine& line : explanation->beliefs) {
+    events.push_back(line.event + "@" + line.Field("node"));
+  }
+  EXPECT_THAT(events, testing::ElementsAre("leader_changed@keeper-2",
+                                           "upstream_suspected@e9",
+                                           "keepers_silent@entry-1"));
+}
+
+// Guards against the lines of other upstreams that hide those of the one that
+// ran the request.
+TEST_F(ExplainerTest, OutcomeUnknown_ShowsItsUpstreamOnly) {
+  Log(100, "event=upstream_suspected upstream=i-1 reason=upstream_timeout",
+      "e2");
+  Log(150, "event=upstream_suspected upstream=i-2 reason=upstream_timeout",
+      "e2");
+  Log(200, "event=retry request=r1 upstream=i-1 reason=upstream_reset", "e1");
+  Log(300,
+      "event=request request=r1 outcome=refused status=504 "
+      "reason=deadline_passed run=unknown upstream=i-1 took_ms=200",
+      "e1");
+  const auto explanation = Explain("r1");
+  ASSERT_TRUE(explanation);
+  EXPECT_EQ(explanation->request.size(), 2u);
+  ASSERT_EQ(explanation->beliefs.size(), 1u);
+  EXPECT_EQ(explanation->beliefs[0].Field("upstream"), "i-1");
+  EXPECT_THAT(explanation->cause, HasSubstr("may have run"));
+}
+
+// Guards against a request whose entry was killed and that counts as unknown.
+TEST_F(ExplainerTest, NoEndInLogs_SaysThatTheEntryEnded) {
+  Log(200, "event=retry request=r1 upstream=i-1 reason=upstream_reset", "e1");
+  const auto explanation = Explain("r1");
+  ASSERT_TRUE(explanation);
+  EXPECT_THAT(explanation->cause, HasSubstr("no end in the logs"));
+  EXPECT_EQ(Explain("r2").refusal().reason, Reason::kUnknownPath);
+}
+
+// Guards against a screen full of one event.
+TEST_F(ExplainerTest, ManyLinesOfOneEvent_LatestAreShown) {
+  for (int i = 0; i < 50; ++i) {
+    Log(100 + i, "event=upstream_suspected upstream=i-1",
+        "e" + std::to_string(i));
+  }
+  Log(140, "event=leader_changed group=state", "k1");
+  Log(300,
+      "event=request request=r1 outcome=caller_gone reason=caller_gone "
+      "run=unknown upstream=i-1 took_ms=100",
+      "e1");
+  const auto explanation = Explain("r1");
+  ASSERT_TRUE(explanation);
+  EXPECT_LT(explanation->beliefs.size(), 10u);
+  EXPECT_EQ(explanation->beliefs.back().Field("node"), "e49");
+}
+
+}  // namespace
+}  // namespace ring
--- a/tests/keeper_host_fixture.h
+++ b/tests/keeper_host_fixture.h
@@ -225,6 +225,7 @@
     init.snapshot_entries = snapshot_entries_;
     init.seed = id;
     init.initialize = true;
+    init.on_settled = [this, node](const std::string&) { ++settled_[node]; };
     if (group_ != kControlGroup) {
       init.create_machine = [](const std::string&) {
         return std::make_unique<JoinMachine>();
@@ -334,6 +335,7 @@
   size_t max_pending_ = 1'000;
   uint64_t snapshot_entries_ = 20'000;
   FakeNet net_;
+  std::map<std::string, std::atomic<int>> settled_;
   std::map<std::string, Keeper> keepers_;
   TestClient client_{net_};
 };
--- a/tests/keeper_host_test.cc
+++ b/tests/keeper_host_test.cc
@@ -180,6 +180,30 @@
             Reason::kConflict);
 }
 
+// Guards against entries that are told of an old configuration and of upstreams
+// that have left by a keeper that has read its snapshot only.
+TEST_F(KeeperHostTest, RestartedReplica_SettlesOnceItsLogIsApplied) {
+  StartThree();
+  ASSERT_TRUE(Propose("a"));
+  ASSERT_TRUE(Propose("b"));
+  const std::string state = *client_.Call(Leader(), group_, Op::Query);
+  for (const char* node : {"k1", "k2", "k3"}) {
+    ASSERT_TRUE(WaitFor([&] { return settled_[node] == 1; })) << node;
+  }
+  for (const char* node : {"k1", "k2", "k3"}) {
+    Stop(node);
+    settled_[node] = 0;
+  }
+  Start("k1", 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  EXPECT_EQ(settled_["k1"], 0) << "without a majority";
+  Start("k2", 2);
+  for (const char* node : {"k1", "k2"}) {
+    ASSERT_TRUE(WaitFor([&] { return settled_[node] == 1; })) << node;
+    EXPECT_EQ(LocalState(node), state);
+  }
+}
+
 TEST_F(KeeperHostTest, TransferAndHandOver_MoveLeadership) {
   StartThree();
   ASSERT_TRUE(Propose("a"));
