Test the wait at a started entry, lost keepers and the bound on appends

Ruled out: a test of registrations over a restart of the process; the state machine's own tests cover what the log keeps. Change: two tests with an entry and a keeper on loopback, one of the replica. The fixture's keeper reports when it has settled, as the platform's does. The tests were not run against the code before the mends.

--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -48,6 +48,37 @@
   std::vector<std::unique_ptr<ScriptedUpstream>> upstreams_;
 };
 
+// Guards against callers that are refused in the second in which a started
+// entry learns of the upstreams.
+TEST_F(GatewayCallTest, EntryStartsBeforeUpstream_RequestWaitsForIt) {
+  ConfigureAll();
+  CallerAnswer answer;
+  std::thread caller([&] { answer = Get("/read/1", "Request-Id: r1"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  ServeTool([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "body")}};
+  });
+  caller.join();
+  EXPECT_EQ(answer.status(), 200);
+}
+
+// Guards against turns that wait for their whole time at an entry that reaches
+// no keeper, and against new callers that are sent to it.
+TEST_F(GatewayCallTest, KeepersAreLost_TurnIsRefusedSoonAndEntryNotReady) {
+  ServeEngine(
+      [](const std::string& request) { return Events(request, {"one"}); });
+  ConfigureAll();
+  ASSERT_EQ(ReadyStatus(), 200);
+  keeper_threads_->Stop();
+  const int64_t start_ms = SystemClock().NowMs();
+  const CallerAnswer answer =
+      Post("/turn/1", "Request-Id: r1, Program-Id: p", "input");
+  EXPECT_EQ(answer.status(), 503);
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 1'900);
+  EXPECT_EQ(Requests(), 0u);
+  EXPECT_EQ(ReadyStatus(), 503);
+}
+
 // Guards against a body, status or header that does not pass unchanged.
 TEST_F(GatewayCallTest, WholeAnswer_ReachesTheCallerUnchanged) {
   ServeTool([](const std::string& request) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -116,11 +116,23 @@
     return answer;
   }
 
-  int Connect() const {
+  int Connect() const { return Connect(listen_); }
+
+  /// @returns status of the answer of the entry's readiness address
+  int ReadyStatus() const {
+    const int fd = Connect(ready_);
+    const std::string request = "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+    send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+    const CallerAnswer answer = ReadAnswer(fd);
+    close(fd);
+    return answer.status();
+  }
+
+  static int Connect(const Endpoint& endpoint) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address = {};
     address.sin_family = AF_INET;
-    address.sin_port = htons(listen_.port);
+    address.sin_port = htons(endpoint.port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     EXPECT_EQ(
         connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
@@ -232,6 +244,7 @@
       return std::make_unique<RingStateMachine>(RingStateMachine::Init{},
                                                 registrar_.get());
     };
+    host.on_settled = [this](const std::string&) { registrar_->OnSettled(); };
     host.on_local_reply = [this](const Frame& frame) {
       registrar_->OnLocalReply(frame);
     };
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -53,6 +53,33 @@
   EXPECT_TRUE(cluster.replica(leader).is_leader());
 }
 
+// Guards against a leader that fills the link to a slow member: at 64
+// unanswered appends of 1 MB a copy over the region link took over 5 s.
+TEST(ReplicaFlow, MemberDoesNotAnswer_AppendsUnderWayAreBounded) {
+  LogCluster cluster(16);
+  const ReplicaNumber leader = cluster.WaitLeader();
+  Replica& replica = cluster.replica(leader);
+  constexpr size_t kProposals = 500;
+  const size_t bound = Replica::Init().max_inflight_appends;
+  std::map<ReplicaNumber, size_t> appends;
+  for (size_t i = 0; i < kProposals; ++i) {
+    ASSERT_TRUE(replica.Propose(std::string(100, 'c'), cluster.now_ms()));
+    while (replica.HasReady()) {
+      for (const RaftMessage& message : replica.TakeReady().messages) {
+        if (message.kind == RaftKind::kAppend && !message.entries.empty()) {
+          ++appends[message.to];
+        }
+      }
+      replica.Persisted();
+    }
+  }
+  ASSERT_EQ(appends.size(), 2u);
+  for (const auto& [member, count] : appends) {
+    EXPECT_LE(count, bound) << "to " << member;
+    EXPECT_GT(count, 1u);
+  }
+}
+
 // Guards against an isolated leader that goes on answering.
 TEST(ReplicaCheckQuorum, IsolatedLeader_StepsDownAndFailsItsReads) {
   LogCluster cluster(4);
