--- a/tools/data_path.py
+++ b/tools/data_path.py
@@ -91,7 +91,7 @@
             if status == 200:
                 break
             await asyncio.sleep(0.1)
-        await self.phase("tool call", calls, lambda caller, _: caller._call("safe"))
+        await self.phase("tool call", calls, lambda caller, _: caller.call_tool("safe"))
         few = await self.turns("few", calls // 2, 4)
         many = await self.turns("many", calls // 8, MANY_EVENTS)
         print(f"event: entry {(many - few) / (MANY_EVENTS - 4):.1f} us")
@@ -102,8 +102,7 @@
     async def announcements(self):
         for upstream in self.upstreams:
             upstream.announce_period_s = 0.005
-            upstream.beating.cancel()
-            upstream.beating = asyncio.create_task(upstream._announce())
+            upstream.announce_again()
         begin = sum(upstream.sequence for upstream in self.upstreams)
         before = used_us(self.ring.keepers)
         await asyncio.sleep(ANNOUNCE_S)
