--- a/src/log_snapshot_file.cc
+++ b/src/log_snapshot_file.cc
@@ -19,10 +19,12 @@
     DiskI& disk,
     const std::string& name) {
   const auto file = disk.OpenFile(name);
-  if (!file) {
-    return file.refusal();
-  }
-  std::shared_ptr<SnapshotFile> snapshot(new SnapshotFile(*file));
+  return file ? FromFile(*file) : file.refusal();
+}
+
+Outcome<std::shared_ptr<const SnapshotFile>> SnapshotFile::FromFile(
+    std::shared_ptr<const FileI> file) {
+  std::shared_ptr<SnapshotFile> snapshot(new SnapshotFile(std::move(file)));
   if (Status status = snapshot->ReadPlaces(); !status) {
     return status.refusal();
   }
@@ -128,4 +130,14 @@
   return Done{};
 }
 
+Outcome<Snapshot> SnapshotFile::ReadAll() const {
+  Snapshot snapshot{meta_, {}};
+  snapshot.data.reserve(size_);
+  const Status status = ForEachPiece([&](std::string_view piece) {
+    snapshot.data += piece;
+    return Status(Done{});
+  });
+  return status ? Outcome<Snapshot>(std::move(snapshot)) : status.refusal();
+}
+
 }  // namespace ring
--- a/src/log_snapshot_file_p.h
+++ b/src/log_snapshot_file_p.h
@@ -19,11 +19,16 @@
   static Outcome<std::shared_ptr<const SnapshotFile>> Open(
       DiskI& disk,
       const std::string& name);
+  /// The same for a file that is open.
+  static Outcome<std::shared_ptr<const SnapshotFile>> FromFile(
+      std::shared_ptr<const FileI> file);
 
   const SnapshotMeta& meta() const override { return meta_; }
   uint64_t size() const override { return size_; }
   /// Checksums of pieces are left to the state's own checksum.
   Outcome<std::string> Read(uint64_t offset, size_t bytes) const override;
+  /// @returns the whole snapshot, checked
+  Outcome<Snapshot> ReadAll() const;
   /// Hands out each piece after its checksum was compared.
   Status ForEachPiece(
       const std::function<Status(std::string_view piece)>& take) const;
--- a/src/log_wal.cc
+++ b/src/log_wal.cc
@@ -1,7 +1,6 @@
 #include "persimmonring/log.h"
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -193,6 +192,19 @@
   size_t offset_ = 0;
 };
 
+// File whose bytes are in memory.
+class HeldFile final : public FileI {
+ public:
+  explicit HeldFile(std::string bytes) : bytes_(std::move(bytes)) {}
+  Outcome<std::string> ReadAt(uint64_t offset, size_t bytes) const override {
+    return offset < bytes_.size() ? bytes_.substr(offset, bytes)
+                                  : std::string();
+  }
+
+ private:
+  const std::string bytes_;
+};
+
 // Collects the pieces for a machine that loads them as a whole.
 class WholeLoader final : public StateLoaderI {
  public:
@@ -219,38 +231,10 @@
   return file;
 }
 
-// A file holds the meta data, then the state as one record, or as several that
-// are followed by a record with their total size.
 Outcome<Snapshot> DecodeSnapshotFile(std::string bytes) {
-  constexpr size_t kWholeRecords = 2;
-  const auto scan = ScanRecords(bytes);
-  if (!scan || scan->payloads.size() < kWholeRecords ||
-      scan->valid_bytes != bytes.size()) {
-    return Corrupt("the snapshot file is damaged");
-  }
-  auto meta = DecodeSnapshotMeta(scan->payloads[0]);
-  if (!meta) {
-    return meta.refusal();
-  }
-  std::vector<std::string_view> pieces(scan->payloads.begin() + 1,
-                                       scan->payloads.end());
-  std::optional<std::string> expected_size;
-  if (scan->payloads.size() > kWholeRecords) {
-    expected_size = std::string(pieces.back());
-    pieces.pop_back();
-  }
-  // The pieces move to the front of the buffer: a second one would double the
-  // memory that a start needs.
-  size_t size = 0;
-  for (const std::string_view piece : pieces) {
-    std::memmove(bytes.data() + size, piece.data(), piece.size());
-    size += piece.size();
-  }
-  if (expected_size && *expected_size != std::to_string(size)) {
-    return Corrupt("the snapshot file lacks a part");
-  }
-  bytes.resize(size);
-  return Snapshot{*meta, std::move(bytes)};
+  const auto file =
+      SnapshotFile::FromFile(std::make_shared<HeldFile>(std::move(bytes)));
+  return file ? (*file)->ReadAll() : file.refusal();
 }
 
 std::unique_ptr<StateImageI> StateMachineI::Freeze() const {
@@ -489,11 +473,8 @@
 }
 
 Outcome<Snapshot> Wal::LoadSnapshot() const {
-  auto bytes = disk_.Read(kSnapshotFile);
-  if (!bytes) {
-    return bytes.refusal();
-  }
-  return DecodeSnapshotFile(std::move(*bytes));
+  const auto file = SnapshotFile::Open(disk_, kSnapshotFile);
+  return file ? (*file)->ReadAll() : file.refusal();
 }
 
 }  // namespace ring
