--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -73,6 +73,7 @@
   bool keeps_turns = false;  ///< Requests carry only new input; see state.h.
   int64_t retention_ms = 0;  ///< How long a turn is kept.
   bool sticky = false;       ///< Upstreams cache what requests share.
+  bool resumable = false;    ///< A stream may go on after an event's id.
 
   auto operator<=>(const Route&) const = default;
 };
@@ -133,6 +134,8 @@
   std::string previous_turn;  ///< Turn that this one continues; empty: none.
   std::vector<PromptPart> prompt;
   std::string affinity;  ///< Object that the request concerns.
+  std::optional<int64_t> last_event;  ///< Resumes a stream after this event.
+  std::string malformed;  ///< Header whose value cannot be used; empty: none.
 
   auto operator<=>(const CallerRequest&) const = default;
 };
@@ -142,6 +145,7 @@
   std::string instance;  ///< Only this incarnation may run it.
   int64_t wait_ms = 0;   ///< Time that is left.
   size_t body_bytes = 0;
+  std::optional<int64_t> last_event;  ///< The stream goes on after this event.
 
   auto operator<=>(const UpstreamSend&) const = default;
 };
@@ -283,6 +287,8 @@
   int64_t grace_ms = 8'000;         ///< From the stop request to the kill.
   size_t chain_cache_bytes = 16u << 20;
   size_t max_buffered_bytes = 32u << 20;  ///< Bodies of callers' requests.
+  size_t max_event_bytes = 256u << 10;    ///< One event of a stream.
+  size_t max_turn_bytes = 2u << 20;       ///< Data of all events of a turn.
 };
 
 /// The data path. Its duties are the loop and the hub's network thread.
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -486,6 +486,8 @@
   HttpExchangeListenerI* listener_ = nullptr;
   std::function<void()> unusable_;
   bool skipping_ = false;
+  int32_t interim_responses_ = 0;
+  size_t skipped_bytes_ = 0;
   bool response_started_ = false;
   bool ended_ = false;
   bool server_keeps_ = true;
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 
-#include "gateway_events_p.h"
 #include "gateway_p.h"
 
 namespace ring {
@@ -15,22 +14,12 @@
 constexpr int64_t kStartWaitMs = 1'200;
 // Sends of one request that ran nowhere; bounds the time spent on full servers.
 constexpr int32_t kMaxSends = 5;
-// A turn waits this long for the state group: longer than an election.
-constexpr int64_t kStateWaitMs = 1'800;
-// The record of an answered or abandoned turn is repeated for this long.
-constexpr int64_t kFinishWaitMs = 20'000;
 // An upstream that has not begun to answer after this many goals of the route,
 // and at least this time, is suspected; the request goes on.
 constexpr int64_t kSlowGoals = 3;
 constexpr int64_t kSlowMs = 500;
 // Share of the time left that a first attempt gets on a route without a goal.
 constexpr int64_t kPatienceShare = 3;
-// Responses up to this size are checked whole before they are passed on.
-constexpr size_t kMaxBuffered = 256u << 10;
-// The upstream is not read while the caller has this much to take.
-constexpr size_t kMaxUnsent = 64u << 10;
-// When a caller may come back after a refusal that asks for patience.
-constexpr int64_t kRetryAfterMs = 300;
 // Another entry can take the request at once.
 constexpr int64_t kDrainRetryAfterMs = 20;
 constexpr int64_t kMsPerSecond = 1'000;
@@ -73,15 +62,6 @@
 
 }  // namespace
 
-struct GatewayCall::Turn {
-  ChainCache::Text chain;  ///< All before this turn.
-  std::string body;        ///< Chain and new input.
-  EventStreamReader events;
-  int32_t tokens_per_event = 1;
-  bool begun = false;  ///< The state group holds a reservation.
-  bool finished = false;
-};
-
 GatewayCall::GatewayCall(Gateway::Impl& gateway,
                          HttpServerConnection& caller,
                          HttpRequest request)
@@ -158,15 +138,40 @@
                    "this entry stops before the request's time is over",
                    kDrainRetryAfterMs});
   }
+  if (!info_.malformed.empty()) {
+    return Refuse({Reason::kBadRequest, RunState::kNotRun,
+                   "the value of " + info_.malformed + " cannot be used"});
+  }
+  if (info_.last_event && is_stream() && !route_->resumable) {
+    return Refuse({Reason::kBadRequest, RunState::kNotRun,
+                   "streams of this route cannot be resumed"});
+  }
   deadline_timer_.Start(wait_ms, [this] { OnDeadline(); });
   ChooseService();
-  if (route_->keeps_turns) {
+  if (is_stream()) {
+    RestartEvents();
+  }
+  if (is_stream() && (route_->keeps_turns || info_.budget_tokens)) {
     BeginTurn();
   } else {
     Send();
   }
 }
 
+// A budget without a program is that of the request alone.
+const std::string& GatewayCall::ledger() const {
+  return info_.program.empty() ? info_.id : info_.program;
+}
+
+void GatewayCall::RestartEvents() {
+  events_.emplace(EventStreamReader::Limits{gateway_.init().max_event_bytes,
+                                            gateway_.init().max_turn_bytes});
+  if (info_.last_event) {
+    events_->ContinueAfter(info_.last_event);
+  }
+  open_event_.clear();
+}
+
 // Requests of one program go to one service, so that splits keep caches warm.
 void GatewayCall::ChooseService() {
   int64_t total = 0;
@@ -184,76 +189,6 @@
   }
 }
 
-void GatewayCall::BeginTurn() {
-  turn_ = std::make_unique<Turn>();
-  const ServiceSpec* service = table_->FindService(service_);
-  if (service != nullptr && service->engine) {
-    turn_->tokens_per_event = service->engine->tokens_per_event;
-  }
-  turn_->chain = info_.previous_turn.empty()
-                     ? nullptr
-                     : gateway_.chains().Find(info_.previous_turn);
-  fb::BeginTurnT begin;
-  begin.turn = info_.id;
-  begin.program = info_.program;
-  begin.previous = info_.previous_turn;
-  begin.known = turn_->chain ? info_.previous_turn : "";
-  begin.budget_tokens = info_.budget_tokens.value_or(-1);
-  begin.max_tokens = info_.max_output_tokens;
-  turn_->begun = true;
-  gateway_.state().Propose(state_codec::EncodeBegin(begin),
-                           std::min(kStateWaitMs, left_ms()),
-                           [this, alive = std::weak_ptr<bool>(alive_)](
-                               const Outcome<fb::StateResultT>& outcome) {
-                             if (!alive.expired()) {
-                               OnTurnBegun(outcome);
-                             }
-                           });
-}
-
-void GatewayCall::OnTurnBegun(const Outcome<fb::StateResultT>& outcome) {
-  begun_ms_ = gateway_.loop().now_ms() - start_ms_;
-  if (!outcome) {
-    return Refuse({Reason::kNoQuorum, RunState::kNotRun,
-                   outcome.refusal().message, kRetryAfterMs});
-  }
-  switch (outcome->code) {
-    case fb::StateCode::UnknownTurn:
-      turn_->begun = false;
-      return Refuse({Reason::kUnknownProgram, RunState::kNotRun,
-                     "the previous turn does not exist"});
-    case fb::StateCode::BudgetSpent:
-      turn_->begun = false;
-      return Refuse({Reason::kBudgetExceeded, RunState::kNotRun,
-                     "the token budget does not hold another turn"});
-    case fb::StateCode::Done:
-      break;
-    default:
-      turn_->begun = false;
-      return Refuse(
-          {Reason::kBadRequest, RunState::kNotRun, "the turn cannot be begun"});
-  }
-  last_upstream_ = outcome->last_upstream;
-  if (!turn_->chain && !info_.previous_turn.empty()) {
-    auto chain = std::make_shared<std::string>();
-    for (const auto& part : outcome->chain) {
-      const auto text = UnpackText(part->text);
-      if (!text) {
-        return Refuse({Reason::kCorruptData, RunState::kNotRun,
-                       "a turn of the chain cannot be unpacked"});
-      }
-      chain->append(*text);
-    }
-    gateway_.chains().Put(info_.previous_turn, chain);
-    turn_->chain = std::move(chain);
-  }
-  if (turn_->chain) {
-    turn_->body = *turn_->chain;
-  }
-  turn_->body.append(request_.body);
-  Send();
-}
-
 void GatewayCall::Send() {
   if (left_ms() <= 0) {
     return OnDeadline();
@@ -276,24 +211,37 @@
   load_ = placed.in_flight;
   candidates_ = placed.candidates;
   sent_ms_ = gateway_.loop().now_ms() - start_ms_;
-  tried_.insert(upstream.instance);
+  const bool tried = !tried_.insert(upstream.instance).second;
   ++sends_;
-  connection_ = gateway_.pool().Take(upstream.address);
+  streaming_ = false;
+  answer_ = {};
+  // A second copy of the first answer carries the same request id.
+  connection_ = tried ? gateway_.pool().Open(upstream.address)
+                      : gateway_.pool().Take(upstream.address);
   if (!connection_) {
     return RetryOrRefuse({Reason::kUpstreamRefused, RunState::kNotRun,
                           "no connection can be opened", kRetryAfterMs});
   }
-  const std::string& body = turn_ ? turn_->body : request_.body;
-  const std::string head = gateway_.protocol().EncodeSend(
-      request_.head, info_, {upstream.instance, left_ms(), body.size()});
+  const std::string& body =
+      route_->keeps_turns ? turn_->body : request_.body;
+  UpstreamSend send{upstream.instance, left_ms(), body.size()};
+  if (route_->resumable) {
+    send.last_event = forwarding_ ? events_->last_event() : info_.last_event;
+  }
+  const std::string head =
+      gateway_.protocol().EncodeSend(request_.head, info_, send);
   sent_ = true;
   gateway_.NoteSent(upstream.instance);
   if (!connection_->connected()) {
     connect_timer_.Start(kConnectTimeoutMs, [this] { OnConnectTimeout(); });
   }
   if (may_repeat() && runs_ + 1 < route_->max_attempts) {
-    const int64_t patience_ms =
+    int64_t patience_ms =
         route_->goal_ms > 0 ? route_->goal_ms : left_ms() / kPatienceShare;
+    if (is_stream()) {
+      // A stream that waits in a queue would lose its place there.
+      patience_ms = std::max(kSlowMs, kSlowGoals * patience_ms);
+    }
     if (patience_ms < left_ms()) {
       patience_timer_.Start(patience_ms, [this] { OnPatienceOver(); });
     }
@@ -340,186 +288,6 @@
   }
 }
 
-bool GatewayCall::OnResponseHead(HttpHead head) {
-  const UpstreamAnswer answer = gateway_.protocol().DecodeAnswer(head);
-  if (!answer.request_id.empty() && answer.request_id != info_.id) {
-    metrics::Count("ring_upstream_foreign_answers_total");
-    Event(LogLevel::kWarn, "foreign_answer")
-        .Add("request", info_.id)
-        .Add("upstream", upstream_.instance)
-        .Add("answers", answer.request_id);
-    return false;
-  }
-  patience_timer_.Stop();
-  slow_timer_.Stop();
-  head_ms_ = gateway_.loop().now_ms() - start_ms_;
-  head_ = std::move(head);
-  buffered_.clear();
-  constexpr int kFirstError = 300;
-  if (is_stream() && !answer.not_run && !answer.other_instance &&
-      head_.status < kFirstError) {
-    StartForwarding();
-  }
-  return true;
-}
-
-void GatewayCall::StartForwarding() {
-  forwarding_ = true;
-  maybe_run_ = true;
-  std::vector<HttpHeader> headers;
-  for (const HttpHeader& header : head_.headers) {
-    if (!IsHopByHop(header.name)) {
-      headers.push_back(header);
-    }
-  }
-  // A turn's response ends only once the turn is recorded, so it has no length
-  // that its last event would complete.
-  std::optional<int64_t> length;
-  if (const std::string* text = head_.Find("Content-Length");
-      text != nullptr && !turn_) {
-    length = ParseNumber(*text);
-  }
-  if (caller_ != nullptr) {
-    caller_->BeginResponse(head_.status, headers, length);
-  }
-}
-
-void GatewayCall::OnResponseBody(std::string_view bytes) {
-  if (!forwarding_) {
-    buffered_.append(bytes);
-    if (buffered_.size() > kMaxBuffered) {
-      StartForwarding();
-      Forward(std::exchange(buffered_, {}));
-    }
-    return;
-  }
-  Forward(bytes);
-}
-
-void GatewayCall::Forward(std::string_view bytes) {
-  if (turn_) {
-    turn_->events.Feed(bytes);
-  }
-  if (caller_ == nullptr) {
-    return;
-  }
-  caller_->WriteBody(bytes);
-  if (caller_->unsent_bytes() > kMaxUnsent) {
-    connection_->SetReading(false);
-  }
-}
-
-void GatewayCall::OnCallerDrained() {
-  if (connection_) {
-    connection_->SetReading(true);
-  }
-}
-
-void GatewayCall::OnResponseEnd() {
-  const UpstreamAnswer answer = gateway_.protocol().DecodeAnswer(head_);
-  constexpr int kServerError = 500;
-  if (!forwarding_ && (answer.not_run || answer.other_instance)) {
-    ReleaseConnection(true);
-    gateway_.NoteFailure(upstream_, answer.other_instance
-                                        ? Reason::kUpstreamLeaving
-                                        : Reason::kUpstreamRefused);
-    return RetryOrRefuse({Reason::kUpstreamRefused, RunState::kNotRun,
-                          "the upstream is full or another one has its address",
-                          kRetryAfterMs});
-  }
-  maybe_run_ = true;
-  ++runs_;
-  ReleaseConnection(true);
-  if (head_.status >= kServerError) {
-    gateway_.NoteError(upstream_.instance);
-  } else {
-    gateway_.NoteSuccess(upstream_.instance);
-  }
-  if (!forwarding_ && head_.status >= kServerError && may_repeat() &&
-      runs_ < route_->max_attempts && sends_ < kMaxSends) {
-    metrics::CountRetry(Reason::kUpstreamError);
-    return Send();
-  }
-  response_done_ = true;
-  if (forwarding_) {
-    CompleteForwarding();
-  } else {
-    RespondWhole();
-  }
-}
-
-void GatewayCall::CompleteForwarding() {
-  if (!turn_) {
-    if (caller_ != nullptr) {
-      caller_->EndResponse();
-    }
-    LogEnd("answered", {}, head_.status);
-    return End();
-  }
-  FinishTurn(true, [this](bool kept) {
-    if (caller_ != nullptr) {
-      if (kept) {
-        caller_->EndResponse();
-      } else {
-        caller_->AbortResponse();
-      }
-      caller_ = nullptr;
-    }
-    LogEnd(kept ? "answered" : "turn_not_recorded", {}, head_.status);
-    End();
-  });
-}
-
-void GatewayCall::FinishTurn(bool complete,
-                             std::function<void(bool kept)> then) {
-  if (!turn_ || !turn_->begun || turn_->finished) {
-    if (then) {
-      then(false);
-    }
-    return;
-  }
-  turn_->finished = true;
-  fb::FinishTurnT finish;
-  finish.turn = info_.id;
-  finish.program = info_.program;
-  finish.previous = info_.previous_turn;
-  finish.tokens = turn_->events.events() * turn_->tokens_per_event;
-  finish.complete = complete;
-  if (complete) {
-    finish.text = PackText(request_.body + turn_->events.data());
-    finish.retention_ms = route_->retention_ms;
-    finish.upstream = upstream_.instance;
-    auto text = std::make_shared<std::string>(std::move(turn_->body));
-    text->append(turn_->events.data());
-    gateway_.chains().Put(info_.id, std::move(text));
-  }
-  const int64_t wait_ms =
-      complete ? std::max<int64_t>(left_ms(), 1) : kFinishWaitMs;
-  gateway_.state().Propose(
-      state_codec::EncodeFinish(finish), wait_ms,
-      [then = std::move(then), alive = std::weak_ptr<bool>(alive_)](
-          const Outcome<fb::StateResultT>& outcome) {
-        if (then && !alive.expired()) {
-          then(outcome.ok() && outcome->code == fb::StateCode::Done);
-        }
-      });
-}
-
-void GatewayCall::RespondWhole() {
-  std::vector<HttpHeader> headers;
-  for (const HttpHeader& header : head_.headers) {
-    if (!IsHopByHop(header.name)) {
-      headers.push_back(header);
-    }
-  }
-  if (caller_ != nullptr) {
-    caller_->Respond(head_.status, headers, buffered_);
-  }
-  FinishTurn(false, nullptr);
-  LogEnd("answered", {}, head_.status);
-  End();
-}
-
 void GatewayCall::OnExchangeFailed(ExchangeFailure failure) {
   const bool never_left = failure == ExchangeFailure::kNotConnected;
   ReleaseConnection(false);
@@ -536,32 +304,38 @@
     maybe_run_ = true;
     ++runs_;
   }
-  if (forwarding_) {
-    if (caller_ != nullptr) {
-      std::exchange(caller_, nullptr)->AbortResponse();
-    }
-    LogEnd("broken_off", {reason, RunState::kRan, "the upstream broke off"}, 0);
-    FinishTurn(false, nullptr);
-    return End();
-  }
   RetryOrRefuse(
       {reason,
        never_left && !maybe_run_ ? RunState::kNotRun : RunState::kUnknown,
        "the upstream connection failed", kRetryAfterMs});
 }
 
+bool GatewayCall::can_send_again() const {
+  return runs_ < route_->max_attempts && sends_ < kMaxSends && left_ms() > 0;
+}
+
+void GatewayCall::SendAgain() {
+  if (forwarding_) {
+    events_->ContinueAfter(events_->last_event());
+    open_event_.clear();
+  } else if (is_stream()) {
+    RestartEvents();
+  }
+  Send();
+}
+
 void GatewayCall::RetryOrRefuse(const Refusal& refusal) {
   const bool allowed = may_repeat() || !maybe_run_;
-  if (allowed && runs_ < route_->max_attempts && sends_ < kMaxSends &&
-      left_ms() > 0) {
+  if (allowed && can_send_again()) {
     metrics::CountRetry(refusal.reason);
-    Event(LogLevel::kInfo, "retry")
+    Event(LogLevel::kInfo, forwarding_ ? "resume" : "retry")
         .Add("request", info_.id)
         .Add("upstream", upstream_.instance)
         .Add("reason", refusal.reason)
         .Add("sends", int{sends_})
+        .Add("events", events_ ? events_->events() : 0)
         .Add("left_ms", left_ms());
-    return Send();
+    return SendAgain();
   }
   Refusal final = refusal;
   if (maybe_run_) {
@@ -572,15 +346,6 @@
 
 void GatewayCall::OnDeadline() {
   const bool may_have_run = maybe_run_ || sent_;
-  if (forwarding_) {
-    ReleaseConnection(false);
-    if (caller_ != nullptr) {
-      std::exchange(caller_, nullptr)->AbortResponse();
-    }
-    LogEnd("broken_off", {Reason::kDeadlinePassed, RunState::kRan, ""}, 0);
-    FinishTurn(false, nullptr);
-    return End();
-  }
   // A connection that is not established yet has sent nothing.
   const bool only_connecting =
       !maybe_run_ && connection_ && !connection_->connected();
@@ -593,6 +358,9 @@
 
 void GatewayCall::Refuse(const Refusal& refusal) {
   metrics::CountRefusal(refusal.reason);
+  if (forwarding_) {
+    return BreakOff(refusal);
+  }
   const int status = StatusOf(refusal);
   LogEnd("refused", refusal, status);
   FinishTurn(false, nullptr);
--- /dev/null
+++ b/src/gateway_call_answer.cc
@@ -0,0 +1,221 @@
+#include <algorithm>
+
+#include "gateway_p.h"
+
+namespace ring {
+namespace {
+
+constexpr int kFirstError = 300;
+constexpr int kServerError = 500;
+// Responses up to this size are checked whole before they are passed on.
+constexpr size_t kMaxBuffered = 256u << 10;
+// The upstream is not read while the caller has this much to take.
+constexpr size_t kMaxUnsent = 64u << 10;
+// Late answers to earlier requests that are skipped on one connection before
+// it is given up.
+constexpr int32_t kMaxForeignAnswers = 4;
+
+std::vector<HttpHeader> EndToEnd(const HttpHead& head) {
+  std::vector<HttpHeader> headers;
+  std::copy_if(
+      head.headers.begin(), head.headers.end(), std::back_inserter(headers),
+      [](const HttpHeader& header) { return !IsHopByHop(header.name); });
+  return headers;
+}
+
+}  // namespace
+
+// @returns true if the answer is to this call's request
+bool GatewayCall::IsOwnAnswer(const UpstreamAnswer& answer) const {
+  if (answer.request_id.empty()) {
+    // On a connection that was used before, an answer without an id may belong
+    // to an earlier request.
+    return info_.id.empty() || connection_->exchanges() <= 1;
+  }
+  return answer.request_id == info_.id;
+}
+
+bool GatewayCall::OnResponseHead(HttpHead head) {
+  const UpstreamAnswer answer = gateway_.protocol().DecodeAnswer(head);
+  if (!IsOwnAnswer(answer)) {
+    metrics::Count("ring_upstream_foreign_answers_total");
+    Event(LogLevel::kWarn, "foreign_answer")
+        .Add("request", info_.id)
+        .Add("upstream", upstream_.instance)
+        .Add("answers", answer.request_id);
+    if (++foreign_answers_ > kMaxForeignAnswers || answer.request_id.empty()) {
+      OnExchangeFailed(ExchangeFailure::kMalformed);
+    }
+    return false;
+  }
+  patience_timer_.Stop();
+  slow_timer_.Stop();
+  answer_ = answer;
+  status_ = head.status;
+  streaming_ = is_stream() && !answer.not_run && !answer.other_instance &&
+               head.status < kFirstError;
+  if (!forwarding_) {
+    head_ms_ = gateway_.loop().now_ms() - start_ms_;
+    head_ = std::move(head);
+    buffered_.clear();
+    // The head of a resumable stream waits for its first event: until then
+    // another upstream may answer instead.
+    if (streaming_ && !route_->resumable) {
+      StartForwarding();
+    }
+  }
+  return true;
+}
+
+void GatewayCall::StartForwarding() {
+  forwarding_ = true;
+  maybe_run_ = true;
+  // The response to a stream ends only once its last event is known to be
+  // whole, so it has no length that the event would complete.
+  std::optional<int64_t> length;
+  if (const std::string* text = head_.Find("Content-Length");
+      text != nullptr && !is_stream()) {
+    length = ParseNumber(*text);
+  }
+  if (caller_ != nullptr) {
+    caller_->BeginResponse(head_.status, EndToEnd(head_), length);
+  }
+}
+
+void GatewayCall::OnResponseBody(std::string_view bytes) {
+  if (streaming_) {
+    return ForwardEvents(bytes);
+  }
+  if (forwarding_) {
+    // The refusal of a resumption is no part of the stream.
+    return is_stream() ? void() : Forward(bytes);
+  }
+  buffered_.append(bytes);
+  if (buffered_.size() > kMaxBuffered) {
+    StartForwarding();
+    Forward(std::exchange(buffered_, {}));
+  }
+}
+
+void GatewayCall::ForwardEvents(std::string_view bytes) {
+  if (!events_->Feed(bytes)) {
+    metrics::Count("ring_upstream_oversized_streams_total");
+    return OnExchangeFailed(ExchangeFailure::kMalformed);
+  }
+  if (!route_->resumable) {
+    return Forward(bytes);
+  }
+  if (events_->repeats()) {
+    return OnExchangeFailed(ExchangeFailure::kMalformed);
+  }
+  // A part of an event cannot be taken back when another run goes on.
+  open_event_.append(bytes);
+  const size_t whole = open_event_.size() - events_->open_bytes();
+  if (whole == 0) {
+    return;
+  }
+  if (!forwarding_) {
+    StartForwarding();
+  }
+  Forward(std::string_view(open_event_).substr(0, whole));
+  open_event_.erase(0, whole);
+}
+
+void GatewayCall::Forward(std::string_view bytes) {
+  if (caller_ == nullptr) {
+    return;
+  }
+  caller_->WriteBody(bytes);
+  if (caller_->unsent_bytes() > kMaxUnsent) {
+    connection_->SetReading(false);
+  }
+}
+
+void GatewayCall::OnCallerDrained() {
+  if (connection_) {
+    connection_->SetReading(true);
+  }
+}
+
+void GatewayCall::OnResponseEnd() {
+  if (answer_.not_run || answer_.other_instance) {
+    ReleaseConnection(true);
+    gateway_.NoteFailure(upstream_, answer_.other_instance
+                                        ? Reason::kUpstreamLeaving
+                                        : Reason::kUpstreamRefused);
+    return RetryOrRefuse({Reason::kUpstreamRefused, RunState::kNotRun,
+                          "the upstream is full or another one has its address",
+                          kRetryAfterMs});
+  }
+  if (streaming_ && !events_->at_boundary()) {
+    return OnExchangeFailed(ExchangeFailure::kTruncated);
+  }
+  maybe_run_ = true;
+  ++runs_;
+  ReleaseConnection(true);
+  if (status_ >= kServerError) {
+    gateway_.NoteError(upstream_.instance);
+  } else {
+    gateway_.NoteSuccess(upstream_.instance);
+  }
+  if (status_ >= kServerError && may_repeat() && can_send_again()) {
+    metrics::CountRetry(Reason::kUpstreamError);
+    return SendAgain();
+  }
+  if (forwarding_ && is_stream() && !streaming_) {
+    return BreakOff({Reason::kUpstreamError, RunState::kRan,
+                     "the stream cannot be resumed"});
+  }
+  response_done_ = true;
+  if (streaming_ && !forwarding_) {
+    StartForwarding();
+  }
+  if (forwarding_) {
+    CompleteForwarding();
+  } else {
+    RespondWhole();
+  }
+}
+
+void GatewayCall::CompleteForwarding() {
+  if (!turn_ || !route_->keeps_turns) {
+    if (caller_ != nullptr) {
+      caller_->EndResponse();
+    }
+    FinishTurn(false, nullptr);
+    LogEnd("answered", {}, head_.status);
+    return End();
+  }
+  FinishTurn(true, [this](bool kept) {
+    if (caller_ != nullptr) {
+      if (kept) {
+        caller_->EndResponse();
+      } else {
+        caller_->AbortResponse();
+      }
+      caller_ = nullptr;
+    }
+    LogEnd(kept ? "answered" : "turn_not_recorded", {}, head_.status);
+    End();
+  });
+}
+
+void GatewayCall::RespondWhole() {
+  if (caller_ != nullptr) {
+    caller_->Respond(head_.status, EndToEnd(head_), buffered_);
+  }
+  FinishTurn(false, nullptr);
+  LogEnd("answered", {}, head_.status);
+  End();
+}
+
+void GatewayCall::BreakOff(const Refusal& refusal) {
+  if (caller_ != nullptr) {
+    std::exchange(caller_, nullptr)->AbortResponse();
+  }
+  LogEnd("broken_off", refusal, 0);
+  FinishTurn(false, nullptr);
+  End();
+}
+
+}  // namespace ring
--- /dev/null
+++ b/src/gateway_call_turn.cc
@@ -0,0 +1,122 @@
+#include "gateway_p.h"
+
+namespace ring {
+namespace {
+
+// A turn waits this long for the state group: longer than an election.
+constexpr int64_t kStateWaitMs = 1'800;
+// The record of an answered or abandoned turn is repeated for this long.
+constexpr int64_t kFinishWaitMs = 20'000;
+
+}  // namespace
+
+// Turns whose text is not kept are recorded as well if they have a budget: the
+// ledger of a program is the same for all entries and survives them.
+void GatewayCall::BeginTurn() {
+  turn_ = std::make_unique<Turn>();
+  const ServiceSpec* service = table_->FindService(service_);
+  if (service != nullptr && service->engine) {
+    turn_->tokens_per_event = service->engine->tokens_per_event;
+  }
+  fb::BeginTurnT begin;
+  begin.turn = info_.id;
+  begin.program = ledger();
+  if (route_->keeps_turns && !info_.previous_turn.empty()) {
+    turn_->chain = gateway_.chains().Find(info_.previous_turn);
+    begin.previous = info_.previous_turn;
+    begin.known = turn_->chain ? info_.previous_turn : "";
+  }
+  begin.budget_tokens = info_.budget_tokens.value_or(-1);
+  begin.max_tokens = info_.max_output_tokens;
+  turn_->begun = true;
+  gateway_.state().Propose(state_codec::EncodeBegin(begin),
+                           std::min(kStateWaitMs, left_ms()),
+                           [this, alive = std::weak_ptr<bool>(alive_)](
+                               const Outcome<fb::StateResultT>& outcome) {
+                             if (!alive.expired()) {
+                               OnTurnBegun(outcome);
+                             }
+                           });
+}
+
+void GatewayCall::OnTurnBegun(const Outcome<fb::StateResultT>& outcome) {
+  begun_ms_ = gateway_.loop().now_ms() - start_ms_;
+  if (!outcome) {
+    return Refuse({Reason::kNoQuorum, RunState::kNotRun,
+                   outcome.refusal().message, kRetryAfterMs});
+  }
+  switch (outcome->code) {
+    case fb::StateCode::UnknownTurn:
+      turn_->begun = false;
+      return Refuse({Reason::kUnknownProgram, RunState::kNotRun,
+                     "the previous turn does not exist"});
+    case fb::StateCode::BudgetSpent:
+      turn_->begun = false;
+      return Refuse({Reason::kBudgetExceeded, RunState::kNotRun,
+                     "the token budget does not hold another turn"});
+    case fb::StateCode::Done:
+      break;
+    default:
+      turn_->begun = false;
+      return Refuse(
+          {Reason::kBadRequest, RunState::kNotRun, "the turn cannot be begun"});
+  }
+  last_upstream_ = outcome->last_upstream;
+  if (!route_->keeps_turns) {
+    return Send();
+  }
+  if (!turn_->chain && !info_.previous_turn.empty()) {
+    auto chain = std::make_shared<std::string>();
+    for (const auto& part : outcome->chain) {
+      const auto text = UnpackText(part->text);
+      if (!text) {
+        return Refuse({Reason::kCorruptData, RunState::kNotRun,
+                       "a turn of the chain cannot be unpacked"});
+      }
+      chain->append(*text);
+    }
+    gateway_.chains().Put(info_.previous_turn, chain);
+    turn_->chain = std::move(chain);
+  }
+  if (turn_->chain) {
+    turn_->body = *turn_->chain;
+  }
+  turn_->body.append(request_.body);
+  Send();
+}
+
+void GatewayCall::FinishTurn(bool keep, std::function<void(bool kept)> then) {
+  if (!turn_ || !turn_->begun || turn_->finished) {
+    if (then) {
+      then(false);
+    }
+    return;
+  }
+  turn_->finished = true;
+  fb::FinishTurnT finish;
+  finish.turn = info_.id;
+  finish.program = ledger();
+  finish.tokens = events_->events() * turn_->tokens_per_event;
+  finish.complete = keep;
+  if (keep) {
+    finish.previous = info_.previous_turn;
+    finish.text = PackText(request_.body + events_->data());
+    finish.retention_ms = route_->retention_ms;
+    finish.upstream = upstream_.instance;
+    auto text = std::make_shared<std::string>(std::move(turn_->body));
+    text->append(events_->data());
+    gateway_.chains().Put(info_.id, std::move(text));
+  }
+  const int64_t wait_ms =
+      keep ? std::max<int64_t>(left_ms(), 1) : kFinishWaitMs;
+  gateway_.state().Propose(
+      state_codec::EncodeFinish(finish), wait_ms,
+      [then = std::move(then), alive = std::weak_ptr<bool>(alive_)](
+          const Outcome<fb::StateResultT>& outcome) {
+        if (then && !alive.expired()) {
+          then(outcome.ok() && outcome->code == fb::StateCode::Done);
+        }
+      });
+}
+
+}  // namespace ring
--- a/src/gateway_events.cc
+++ b/src/gateway_events.cc
@@ -1,42 +1,88 @@
 #include "gateway_events_p.h"
 
+#include "persimmonring/net.h"
+
 namespace ring {
+namespace {
+
+// The value of a field without the space that may follow the colon.
+std::string_view ValueOf(std::string_view line, std::string_view field) {
+  line.remove_prefix(field.size());
+  if (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  return line;
+}
 
-void EventStreamReader::Feed(std::string_view bytes) {
-  for (const char c : bytes) {
-    if (c == '\n') {
-      TakeLine();
-      line_.clear();
-    } else if (c != '\r') {
-      line_.push_back(c);
+}  // namespace
+
+bool EventStreamReader::Feed(std::string_view bytes) {
+  while (!bytes.empty()) {
+    const size_t end = bytes.find('\n');
+    const std::string_view part = bytes.substr(0, end);
+    if (open_bytes_ + part.size() > limits_.event_bytes ||
+        data_.size() + event_data_.size() > limits_.data_bytes) {
+      return false;
+    }
+    line_.append(part);
+    open_bytes_ += part.size();
+    if (end == std::string_view::npos) {
+      break;
     }
+    ++open_bytes_;
+    bytes.remove_prefix(end + 1);
+    if (line_.ends_with('\r')) {
+      line_.pop_back();
+    }
+    TakeLine();
+    line_.clear();
   }
+  return true;
+}
+
+void EventStreamReader::ContinueAfter(std::optional<int64_t> last_event) {
+  line_.clear();
+  event_data_.clear();
+  event_id_.reset();
+  has_data_ = false;
+  open_bytes_ = 0;
+  last_event_ = last_event;
+  continued_ = true;
+  repeats_ = false;
 }
 
 void EventStreamReader::TakeLine() {
   constexpr std::string_view kData = "data:";
+  constexpr std::string_view kId = "id:";
   if (line_.empty()) {
+    TakeEvent();
+  } else if (line_.starts_with(kData)) {
     if (has_data_) {
-      data_.append(event_data_).push_back('\n');
-      ++events_;
+      event_data_.push_back('\n');
     }
-    event_data_.clear();
-    has_data_ = false;
-    in_event_ = false;
-    return;
+    event_data_.append(ValueOf(line_, kData));
+    has_data_ = true;
+  } else if (line_.starts_with(kId)) {
+    event_id_ = ParseNumber(ValueOf(line_, kId));
   }
-  in_event_ = true;
-  if (line_.starts_with(kData)) {
-    std::string_view value = std::string_view(line_).substr(kData.size());
-    if (value.starts_with(' ')) {
-      value.remove_prefix(1);
+}
+
+void EventStreamReader::TakeEvent() {
+  if (has_data_) {
+    if (continued_) {
+      repeats_ = !event_id_ || *event_id_ <= last_event_.value_or(0);
+      continued_ = false;
     }
-    if (has_data_) {
-      event_data_.push_back('\n');
+    data_.append(event_data_).push_back('\n');
+    ++events_;
+    if (event_id_) {
+      last_event_ = event_id_;
     }
-    event_data_.append(value);
-    has_data_ = true;
   }
+  event_data_.clear();
+  event_id_.reset();
+  has_data_ = false;
+  open_bytes_ = 0;
 }
 
 }  // namespace ring
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "gateway_chains_p.h"
+#include "gateway_events_p.h"
 #include "gateway_health_p.h"
 #include "gateway_pool_p.h"
 #include "persimmonring/gateway.h"
@@ -16,6 +17,9 @@
 
 class GatewayCall;
 
+/// When a caller may come back after a refusal that asks for patience.
+constexpr int64_t kRetryAfterMs = 300;
+
 class Gateway::Impl final : public HttpServerHandlerI {
  public:
   Impl(const GatewayInit& init,
@@ -142,30 +146,50 @@
   void OnExchangeFailed(ExchangeFailure failure) override;
 
  private:
-  struct Turn;
+  /// What the state group records of a request.
+  struct Turn {
+    ChainCache::Text chain;  ///< All before this turn.
+    std::string body;        ///< Chain and new input, if turns are kept.
+    int32_t tokens_per_event = 1;
+    bool begun = false;  ///< The state group holds a reservation.
+    bool finished = false;
+  };
   bool is_stream() const { return route_->kind == RepeatKind::kStream; }
-  bool may_repeat() const { return route_->kind == RepeatKind::kIdempotent; }
+  bool may_repeat() const {
+    return route_->kind == RepeatKind::kIdempotent || route_->resumable;
+  }
   int64_t left_ms() const;
+  /// Program whose budget the request spends.
+  const std::string& ledger() const;
+  bool can_send_again() const;
 
   bool WaitForStart();
   void BeginTurn();
   void OnTurnBegun(const Outcome<fb::StateResultT>& outcome);
-  void FinishTurn(bool complete, std::function<void(bool kept)> then);
+  /// Records what the turn spent.
+  /// @param keep the turn was answered whole and may be continued
+  void FinishTurn(bool keep, std::function<void(bool kept)> then);
   void ChooseService();
   void Send();
   void SendTo(const Gateway::Impl::Placed& placed);
   void OnConnectTimeout();
   /// An idempotent request has waited long enough for this upstream.
   void OnPatienceOver();
+  void RestartEvents();
+  void SendAgain();
   void RetryOrRefuse(const Refusal& refusal);
+  bool IsOwnAnswer(const UpstreamAnswer& answer) const;
   void StartForwarding();
   void Forward(std::string_view bytes);
+  void ForwardEvents(std::string_view bytes);
   void CompleteForwarding();
   void ReleaseConnection(bool reuse);
   void OnDeadline();
   /// Gives the final answer of this system's own and ends the call.
   void Refuse(const Refusal& refusal);
   void RespondWhole();
+  /// Ends a response that has begun so that it cannot look complete.
+  void BreakOff(const Refusal& refusal);
   void LogEnd(const char* outcome, const Refusal& refusal, int status) const;
   void End();
 
@@ -185,7 +209,7 @@
   ScopedTimer patience_timer_;
   ScopedTimer slow_timer_;
 
-  std::unique_ptr<Turn> turn_;  ///< Of a route that keeps turns.
+  std::unique_ptr<Turn> turn_;  ///< If the state group records the request.
   std::string last_upstream_;   ///< Ran the previous turn.
 
   // The attempt under way.
@@ -204,9 +228,17 @@
   int64_t sent_ms_ = 0;   ///< Until the latest send.
   int64_t head_ms_ = 0;   ///< Until the head of the response.
 
+  // The answer of the attempt under way.
+  UpstreamAnswer answer_;
+  int status_ = 0;
+  bool streaming_ = false;  ///< It is an event stream.
+  int32_t foreign_answers_ = 0;
+
   // The response.
   HttpHead head_;
   std::string buffered_;
+  std::optional<EventStreamReader> events_;  ///< Of streams.
+  std::string open_event_;  ///< Start of an event that may be resumed.
   bool forwarding_ = false;
   bool response_done_ = false;
   bool ended_ = false;
--- a/src/gateway_pool.cc
+++ b/src/gateway_pool.cc
@@ -36,6 +36,10 @@
       Discard(std::move(idle.connection));
     }
   }
+  return Open(endpoint);
+}
+
+ConnectionPool::Connection ConnectionPool::Open(const Endpoint& endpoint) {
   metrics::Count("ring_upstream_connects_total");
   return HttpClientConnection::Connect(
       loop_, {.user_timeout_ms = kUserTimeoutMs}, endpoint);
--- a/src/gateway_pool_p.h
+++ b/src/gateway_pool_p.h
@@ -19,6 +19,8 @@
 
   /// @returns an idle connection or a new one; null if none can be opened
   Connection Take(const Endpoint& endpoint);
+  /// @returns a new connection; null if none can be opened
+  Connection Open(const Endpoint& endpoint);
   /// Takes back a connection whose exchange has ended.
   void Give(const Endpoint& endpoint, Connection connection);
   /// Destroys a connection after the current callbacks.
--- a/src/net_http_client.cc
+++ b/src/net_http_client.cc
@@ -5,6 +5,10 @@
 
 constexpr size_t kMaxResponseHeaderBytes = 64u << 10;
 constexpr int64_t kSecondMs = 1'000;
+// Interim responses to one request, and bytes of answers that are skipped;
+// more than a well-behaved server sends.
+constexpr int32_t kMaxInterimResponses = 16;
+constexpr size_t kMaxSkippedBytes = 1u << 20;
 
 // Reads "timeout=N" of a Keep-Alive header.
 int64_t KeepAliveMs(const HttpHead& head) {
@@ -51,6 +55,8 @@
   skipping_ = false;
   response_started_ = false;
   ended_ = false;
+  interim_responses_ = 0;
+  skipped_bytes_ = 0;
   ++exchanges_;
   parser_.Reset();
   if (body.empty()) {
@@ -91,7 +97,9 @@
     if (broken_) {
       return;
     }
-    if (result.state == HttpParser::State::kError) {
+    if (result.state == HttpParser::State::kError ||
+        interim_responses_ > kMaxInterimResponses ||
+        skipped_bytes_ > kMaxSkippedBytes) {
       return Fail(ExchangeFailure::kMalformed);
     }
     bytes.remove_prefix(result.consumed);
@@ -153,6 +161,7 @@
   constexpr int kFirstFinalStatus = 200;
   if (head.status < kFirstFinalStatus) {
     skipping_ = true;
+    ++interim_responses_;
     return;
   }
   response_started_ = true;
@@ -162,7 +171,9 @@
 }
 
 void HttpClientConnection::OnBody(std::string_view bytes) {
-  if (!skipping_ && listener_ != nullptr) {
+  if (skipping_) {
+    skipped_bytes_ += bytes.size();
+  } else if (listener_ != nullptr) {
     listener_->OnResponseBody(bytes);
   }
 }
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -134,12 +134,15 @@
     Program& program = programs_[program_id];
     program.touched_ms = now_ms_;
     if (!program.open.contains(turn) && !turns_.contains(turn)) {
-      if (program.spent_tokens + program.reserved_tokens() +
-              command.max_tokens() >
-          command.budget_tokens()) {
+      const int64_t left = command.budget_tokens() - program.spent_tokens -
+                           program.reserved_tokens();
+      // A turn that states no bound may take all that is left.
+      const int64_t most =
+          command.max_tokens() > 0 ? command.max_tokens() : left;
+      if (left <= 0 || most > left) {
         return Result(fb::StateCode::BudgetSpent);
       }
-      program.open[turn] = command.max_tokens();
+      program.open[turn] = most;
     }
   }
   fb::StateResultT result = Result(fb::StateCode::Done);
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -7,47 +7,6 @@
 using fakes::ScriptedUpstream;
 using Then = ScriptedReply::Then;
 
-constexpr char kTurns[] = R"(,"retainContext":true,"retentionS":60)";
-
-class GatewayCallTest : public GatewayTest {
- protected:
-  void ServeTool(ScriptedUpstream::Script script) {
-    upstreams_.push_back(std::make_unique<ScriptedUpstream>(std::move(script)));
-    Announce("i-" + std::to_string(upstreams_.size()), "tool",
-             upstreams_.back()->endpoint());
-  }
-  void ServeEngine(ScriptedUpstream::Script script) {
-    upstreams_.push_back(std::make_unique<ScriptedUpstream>(std::move(script)));
-    Announce("i-" + std::to_string(upstreams_.size()), "engine",
-             upstreams_.back()->endpoint());
-  }
-  void ConfigureAll() {
-    Configure(1, RouteOf("read", "safe", "tool") + "," +
-                     RouteOf("order", "unsafe", "tool") + "," +
-                     RouteOf("turn", "stream", "engine", kTurns));
-  }
-  size_t Requests() const {
-    size_t count = 0;
-    for (const auto& upstream : upstreams_) {
-      count += upstream->requests().size();
-    }
-    return count;
-  }
-  static ScriptedReply Events(const std::string& request,
-                              const std::vector<std::string>& data) {
-    ScriptedReply reply{{StreamHead(request)}};
-    int64_t id = 0;
-    for (const std::string& one : data) {
-      reply.pieces.push_back(
-          Chunk("id: " + std::to_string(++id) + "\ndata: " + one + "\n\n"));
-    }
-    reply.pieces.push_back("0\r\n\r\n");
-    return reply;
-  }
-
-  std::vector<std::unique_ptr<ScriptedUpstream>> upstreams_;
-};
-
 // Guards against callers that are refused in the second in which a started
 // entry learns of the upstreams.
 TEST_F(GatewayCallTest, EntryStartsBeforeUpstream_RequestWaitsForIt) {
@@ -228,6 +187,94 @@
   WaitFor([this] { return upstreams_[0]->abandoned(); });
 }
 
+// Guards against an answer to an earlier request that is passed on because it
+// names none.
+TEST_F(GatewayCallTest, AnswerWithoutIdOnUsedConnection_IsNotPassedOn) {
+  ServeTool([](const std::string& request) {
+    if (request.find("first") != std::string::npos) {
+      return ScriptedReply{{Whole(200, request, "one")}};
+    }
+    return ScriptedReply{{Whole(200, "", "stale")}, Then::kStall};
+  });
+  ConfigureAll();
+  EXPECT_EQ(Post("/order/1", "Request-Id: first", "x").status(), 200);
+  const CallerAnswer answer = Post("/order/1", "Request-Id: second", "x");
+  EXPECT_EQ(answer.status(), 502);
+  EXPECT_EQ(answer.text.find("stale"), std::string::npos);
+}
+
+// Guards against a "not run" that a second copy of an earlier refusal says of
+// a request that runs.
+TEST_F(GatewayCallTest, RequestIsSentAgainToOneUpstream_UsesAnotherConnection) {
+  std::atomic<int> asked{0};
+  ServeTool([&asked](const std::string& request) {
+    const std::string refusal =
+        Whole(503, request, "", "Persimmonring-Not-Executed: 1\r\n");
+    if (asked.fetch_add(1) == 0) {
+      return ScriptedReply{{refusal}};
+    }
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  });
+  ConfigureAll();
+  EXPECT_EQ(Post("/order/1", "Request-Id: r1", "pay").status(), 200);
+  EXPECT_EQ(upstreams_[0]->connections(), 2);
+}
+
+// Guards against a connection that is held by interim responses without end.
+TEST_F(GatewayCallTest, EndlessInterimResponses_EndTheExchange) {
+  ServeTool([](const std::string&) {
+    ScriptedReply reply{{}, Then::kStall};
+    for (int i = 0; i < 40; ++i) {
+      reply.pieces.push_back("HTTP/1.1 102 Processing\r\n\r\n");
+    }
+    return reply;
+  });
+  ConfigureAll();
+  const int64_t start_ms = SystemClock().NowMs();
+  EXPECT_EQ(Post("/order/1", "Request-Id: r1", "pay").status(), 502);
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 1'500);
+}
+
+// Guards against a head without end that fills the entry's memory.
+TEST_F(GatewayCallTest, EndlessHead_EndsTheExchange) {
+  ServeTool([](const std::string&) {
+    ScriptedReply reply{{"HTTP/1.1 200 OK\r\n"}, Then::kStall};
+    for (int i = 0; i < 20; ++i) {
+      reply.pieces.push_back("X: " + std::string(8u << 10, 'x') + "\r\n");
+    }
+    return reply;
+  });
+  ConfigureAll();
+  const int64_t start_ms = SystemClock().NowMs();
+  EXPECT_EQ(Post("/order/1", "Request-Id: r1", "pay").status(), 502);
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 1'500);
+}
+
+// Guards against answers to other requests, one after the other or without
+// end, that hold a request.
+TEST_F(GatewayCallTest, ForeignAnswersWithoutEnd_EndTheExchange) {
+  ServeTool([](const std::string& request) {
+    ScriptedReply reply{{}, Then::kStall};
+    const std::string foreign = "Persimmonring-Request-Id: other\r\n\r\n";
+    if (request.find("many") != std::string::npos) {
+      for (int i = 0; i < 10; ++i) {
+        reply.pieces.push_back(Whole(200, foreign, "stale"));
+      }
+      return reply;
+    }
+    reply.pieces.push_back(StreamHead(foreign));
+    for (int i = 0; i < 80; ++i) {
+      reply.pieces.push_back(Chunk(std::string(32u << 10, 'x')));
+    }
+    return reply;
+  });
+  ConfigureAll();
+  const int64_t start_ms = SystemClock().NowMs();
+  EXPECT_EQ(Post("/order/1", "Request-Id: many", "pay").status(), 502);
+  EXPECT_EQ(Post("/order/1", "Request-Id: long", "pay").status(), 502);
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 3'000);
+}
+
 // Guards against a smuggled second request.
 TEST_F(GatewayCallTest, LengthAndChunksTogether_AreRefused) {
   ServeTool([](const std::string& request) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -320,4 +320,48 @@
   std::unique_ptr<Supervisor> entry_threads_;
 };
 
+/// Adds a configuration with a route of each kind.
+class GatewayCallTest : public GatewayTest {
+ protected:
+  void ServeTool(fakes::ScriptedUpstream::Script script) {
+    upstreams_.push_back(std::make_unique<fakes::ScriptedUpstream>(std::move(script)));
+    Announce("i-" + std::to_string(upstreams_.size()), "tool",
+             upstreams_.back()->endpoint());
+  }
+  void ServeEngine(fakes::ScriptedUpstream::Script script) {
+    upstreams_.push_back(std::make_unique<fakes::ScriptedUpstream>(std::move(script)));
+    Announce("i-" + std::to_string(upstreams_.size()), "engine",
+             upstreams_.back()->endpoint());
+  }
+  void ConfigureAll() {
+    Configure(1, RouteOf("read", "safe", "tool") + "," +
+                     RouteOf("order", "unsafe", "tool") + "," +
+                     RouteOf("turn", "stream", "engine",
+                             R"(,"retainContext":true,"retentionS":60)") +
+                     "," + RouteOf("talk", "stream", "engine") + "," +
+                     RouteOf("review", "stream", "engine",
+                             R"(,"resumable":true)"));
+  }
+  size_t Requests() const {
+    size_t count = 0;
+    for (const auto& upstream : upstreams_) {
+      count += upstream->requests().size();
+    }
+    return count;
+  }
+  static fakes::ScriptedReply Events(const std::string& request,
+                              const std::vector<std::string>& data) {
+    fakes::ScriptedReply reply{{StreamHead(request)}};
+    int64_t id = 0;
+    for (const std::string& one : data) {
+      reply.pieces.push_back(
+          Chunk("id: " + std::to_string(++id) + "\ndata: " + one + "\n\n"));
+    }
+    reply.pieces.push_back("0\r\n\r\n");
+    return reply;
+  }
+
+  std::vector<std::unique_ptr<fakes::ScriptedUpstream>> upstreams_;
+};
+
 }  // namespace ring
--- /dev/null
+++ b/tests/gateway_stream_test.cc
@@ -0,0 +1,295 @@
+#include "tests/gateway_fixture.h"
+
+namespace ring {
+namespace {
+
+using fakes::ScriptedReply;
+using Then = ScriptedReply::Then;
+
+std::string EventText(int id) {
+  return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
+         "\n\n";
+}
+
+/// Scripts of an upstream with a stream of three events.
+class GatewayStreamTest : public GatewayCallTest {
+ protected:
+  static constexpr int kEvents = 3;
+
+  /// @returns the events after a number
+  static ScriptedReply EventsAfter(const std::string& request, int last) {
+    ScriptedReply reply{{StreamHead(request)}};
+    for (int id = last + 1; id <= kEvents; ++id) {
+      reply.pieces.push_back(Chunk(EventText(id)));
+    }
+    reply.pieces.push_back("0\r\n\r\n");
+    return reply;
+  }
+  /// @returns the number in the Last-Event-Id header of a request, 0 without
+  static int ResumedAfter(const std::string& request) {
+    constexpr std::string_view kName = "Last-Event-Id: ";
+    const size_t at = request.find(kName);
+    return at == std::string::npos
+               ? 0
+               : std::atoi(request.c_str() + at + kName.size());
+  }
+  /// Starts two upstreams, of which the first one asked sends `pieces` and
+  /// resets; every later request is answered as it should be.
+  void ServeBreakingOnce(const std::vector<std::string>& pieces) {
+    const auto script = [this, pieces](const std::string& request) {
+      if (asked_.fetch_add(1) == 0) {
+        ScriptedReply reply{{StreamHead(request)}, Then::kReset};
+        reply.pieces.insert(reply.pieces.end(), pieces.begin(), pieces.end());
+        return reply;
+      }
+      return EventsAfter(request, ResumedAfter(request));
+    };
+    ServeEngine(script);
+    ServeEngine(script);
+    ConfigureAll();
+  }
+  /// @returns the request that reached an upstream last
+  std::string SecondRequest() const {
+    for (const auto& upstream : upstreams_) {
+      for (const std::string& request : upstream->requests()) {
+        if (ResumedAfter(request) > 0) {
+          return request;
+        }
+      }
+    }
+    return "";
+  }
+  static size_t CountOf(const std::string& text, const std::string& part) {
+    size_t count = 0;
+    for (size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+  static void ExpectEachEventOnce(const CallerAnswer& answer) {
+    EXPECT_EQ(answer.status(), 200);
+    EXPECT_TRUE(IsWhole(answer.text));
+    EXPECT_EQ(CountOf(answer.text, "HTTP/1.1"), 1u);
+    for (int id = 1; id <= kEvents; ++id) {
+      EXPECT_EQ(CountOf(answer.text, "data: e" + std::to_string(id)), 1u) << id;
+    }
+  }
+
+  std::atomic<int> asked_{0};
+};
+
+// Guards against programs that spend without a limit where turns are not kept.
+TEST_F(GatewayStreamTest, BudgetOnRouteWithoutKeptTurns_IsHeld) {
+  ServeEngine([](const std::string& request) {
+    return Events(request, {"one", "two"});
+  });
+  ConfigureAll();
+  const std::string program =
+      "Program-Id: p, Token-Budget: 40, Token-Usage: 10,24, Request-Id: ";
+  EXPECT_EQ(Post("/talk/1", program + "t1", "in").status(), 200);
+  EXPECT_EQ(Post("/review/1", program + "t2", "in").status(), 200);
+  EXPECT_EQ(Post("/talk/1", program + "t3", "in").status(), 402);
+  EXPECT_EQ(Requests(), 2u);
+}
+
+// Guards against a budget for each kind of route.
+TEST_F(GatewayStreamTest, ProgramOnBothKindsOfRoutes_HasOneBudget) {
+  ServeEngine([](const std::string& request) {
+    return Events(request, {"one", "two"});
+  });
+  ConfigureAll();
+  const std::string program =
+      "Program-Id: p, Token-Budget: 40, Token-Usage: 10,24, Request-Id: ";
+  EXPECT_EQ(Post("/turn/1", program + "t1", "in").status(), 200);
+  EXPECT_EQ(Post("/talk/1", program + "t2", "in").status(), 200);
+  EXPECT_EQ(Post("/turn/1", program + "t3", "in").status(), 402);
+  EXPECT_EQ(Requests(), 2u);
+}
+
+// Guards against numbers that are read as no budget, and against a malformed
+// request that spends something.
+TEST_F(GatewayStreamTest, MalformedBudget_IsRefusedAndSpendsNothing) {
+  ServeEngine(
+      [](const std::string& request) { return Events(request, {"one"}); });
+  ConfigureAll();
+  for (const std::string budget : {"-1", "many", "9007199254740993"}) {
+    EXPECT_EQ(Post("/talk/1",
+                   "Program-Id: p, Token-Usage: 1,8, Request-Id: r" + budget +
+                       ", Token-Budget: " + budget,
+                   "in")
+                  .status(),
+              400)
+        << budget;
+  }
+  EXPECT_EQ(Requests(), 0u);
+  EXPECT_EQ(Post("/talk/1",
+                 "Program-Id: p, Token-Usage: 1,8, Request-Id: r, "
+                 "Token-Budget: 8",
+                 "in")
+                .status(),
+            200);
+}
+
+// Guards against a failure of a stream that may run again.
+TEST_F(GatewayStreamTest, BreakBeforeTheFirstEvent_IsRepeatedElsewhere) {
+  ServeBreakingOnce({});
+  ExpectEachEventOnce(Post("/review/1", "Request-Id: r1", "in"));
+  EXPECT_EQ(Requests(), 2u);
+}
+
+// Guards against parts of events that are sent twice or joined.
+TEST_F(GatewayStreamTest, BreakInsideAnEvent_GoesOnAfterTheLastWholeOne) {
+  ServeBreakingOnce({Chunk(EventText(1)), Chunk("id: 2\ndata: e")});
+  ExpectEachEventOnce(Post("/review/1", "Request-Id: r1", "in"));
+  EXPECT_EQ(ResumedAfter(SecondRequest()), 1);
+}
+
+// Guards against an event that is lost or repeated by the resumption.
+TEST_F(GatewayStreamTest, BreakBetweenEvents_GoesOnAfterTheLastOne) {
+  ServeBreakingOnce({Chunk(EventText(1)), Chunk(EventText(2))});
+  ExpectEachEventOnce(Post("/review/1", "Request-Id: r1", "in"));
+  EXPECT_EQ(ResumedAfter(SecondRequest()), 2);
+}
+
+// Guards against a whole stream that the caller sees as broken.
+TEST_F(GatewayStreamTest, BreakAfterTheLastEvent_EndsWhole) {
+  ServeBreakingOnce(
+      {Chunk(EventText(1)), Chunk(EventText(2)), Chunk(EventText(3))});
+  ExpectEachEventOnce(Post("/review/1", "Request-Id: r1", "in"));
+  EXPECT_EQ(ResumedAfter(SecondRequest()), 3);
+}
+
+// Guards against the joined pieces of two runs.
+TEST_F(GatewayStreamTest, UpstreamIgnoresTheResumption_StreamIsBrokenOff) {
+  const auto script = [this](const std::string& request) {
+    ScriptedReply reply = EventsAfter(request, 0);
+    if (asked_.fetch_add(1) == 0) {
+      reply.pieces.resize(2);
+      reply.then = Then::kReset;
+    }
+    return reply;
+  };
+  ServeEngine(script);
+  ServeEngine(script);
+  ConfigureAll();
+  const CallerAnswer answer = Post("/review/1", "Request-Id: r1", "in");
+  EXPECT_FALSE(IsWhole(answer.text));
+  EXPECT_EQ(CountOf(answer.text, "data: e1"), 1u);
+  EXPECT_EQ(CountOf(answer.text, "data: e2"), 0u);
+}
+
+// Guards against a caller that cannot resume at an entry, and against a second
+// charge for events that it already has.
+TEST_F(GatewayStreamTest, CallerResumes_RestIsSentAndCountedOnce) {
+  ServeEngine([](const std::string& request) {
+    return EventsAfter(request, ResumedAfter(request));
+  });
+  ConfigureAll();
+  const std::string program =
+      "Program-Id: p, Token-Budget: 48, Token-Usage: 10,24, Request-Id: ";
+  const CallerAnswer rest = Send(
+      "POST /review/1 HTTP/1.1\r\nHost: h\r\nLast-Event-Id: 2\r\n"
+      "Persimmonring-Request-Id: r1\r\nPersimmonring-Program-Id: p\r\n"
+      "Persimmonring-Token-Budget: 48\r\nPersimmonring-Token-Usage: 10,24\r\n"
+      "Content-Length: 0\r\n\r\n");
+  EXPECT_TRUE(IsWhole(rest.text));
+  EXPECT_EQ(CountOf(rest.text, "data: "), 1u);
+  EXPECT_EQ(CountOf(rest.text, "data: e3"), 1u);
+  // 8 tokens are spent; 24 more fit, and then 16 are left.
+  EXPECT_EQ(Post("/review/1", program + "r2", "in").status(), 200);
+  EXPECT_EQ(Post("/review/1", program + "r3", "in").status(), 402);
+}
+
+// Guards against an error for a stream of which nothing is left.
+TEST_F(GatewayStreamTest, CallerResumesWhatWasWhole_GetsAnEmptyRest) {
+  ServeEngine([](const std::string& request) {
+    return EventsAfter(request, ResumedAfter(request));
+  });
+  ConfigureAll();
+  const CallerAnswer rest = Send(
+      "POST /review/1 HTTP/1.1\r\nHost: h\r\nLast-Event-Id: 3\r\n"
+      "Persimmonring-Request-Id: r1\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(rest.status(), 200);
+  EXPECT_TRUE(IsWhole(rest.text));
+  EXPECT_EQ(CountOf(rest.text, "data: "), 0u);
+}
+
+// Guards against a stream that runs again although it may run only once.
+TEST_F(GatewayStreamTest, ResumptionWhereItIsNotAllowed_IsRefused) {
+  ServeEngine(
+      [](const std::string& request) { return EventsAfter(request, 0); });
+  ConfigureAll();
+  const CallerAnswer answer = Send(
+      "POST /talk/1 HTTP/1.1\r\nHost: h\r\nLast-Event-Id: 1\r\n"
+      "Persimmonring-Request-Id: r1\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(answer.status(), 400);
+  EXPECT_EQ(Requests(), 0u);
+}
+
+// Guards against an entry's memory that an endless event fills.
+TEST_F(GatewayStreamTest, EndlessEvent_IsBrokenOff) {
+  ServeEngine([](const std::string& request) {
+    ScriptedReply reply{{StreamHead(request)}, Then::kStall};
+    for (int i = 0; i < 40; ++i) {
+      reply.pieces.push_back(Chunk(std::string(16u << 10, 'x')));
+    }
+    return reply;
+  });
+  ConfigureAll();
+  const int64_t start_ms = SystemClock().NowMs();
+  const CallerAnswer answer = Post("/turn/1", "Request-Id: r1", "in");
+  EXPECT_FALSE(IsWhole(answer.text));
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 1'500);
+  EXPECT_LT(answer.text.size(), 400u << 10);
+}
+
+// Guards against a broken answer that reaches the caller as a success: the
+// response ends in order, in the middle of an event.
+TEST_F(GatewayStreamTest, OrderlyEndInsideAnEvent_IsNoSuccess) {
+  ServeEngine([](const std::string& request) {
+    return ScriptedReply{{StreamHead(request), Chunk(EventText(1)),
+                          Chunk("id: 2\ndata: e"), "0\r\n\r\n"}};
+  });
+  ConfigureAll();
+  EXPECT_FALSE(IsWhole(Post("/turn/1", "Request-Id: r1", "in").text));
+  EXPECT_FALSE(IsWhole(Post("/talk/1", "Request-Id: r2", "in").text));
+  EXPECT_EQ(Post("/turn/1", "Request-Id: r3, Previous-Turn: r1", "x").status(),
+            404);
+}
+
+// Guards against slow but sound streams that are cut.
+TEST_F(GatewayStreamTest, SlowStream_IsServedToItsEnd) {
+  ServeEngine([](const std::string& request) {
+    ScriptedReply reply{{StreamHead(request)}};
+    // 1.2 s in pieces of a byte or two, four times the goal.
+    for (int i = 0; i < 240; ++i) {
+      reply.pieces.push_back(Chunk(i % 80 == 79 ? "\ndata: x\n\n" : ":"));
+    }
+    reply.pieces.push_back("0\r\n\r\n");
+    return reply;
+  });
+  ConfigureAll();
+  const CallerAnswer answer = Post("/talk/1", "Request-Id: r1", "in");
+  EXPECT_EQ(answer.status(), 200);
+  EXPECT_TRUE(IsWhole(answer.text));
+}
+
+// Guards against a stalled stream that sends a byte now and then and never
+// ends: the time of the route bounds it.
+TEST_F(GatewayStreamTest, TrickledBytes_EndWithTheTimeOfTheRoute) {
+  ServeEngine([](const std::string& request) {
+    ScriptedReply reply{{StreamHead(request)}};
+    for (int i = 0; i < 800; ++i) {
+      reply.pieces.push_back(Chunk(":"));
+    }
+    return reply;
+  });
+  ConfigureAll();
+  const int64_t start_ms = SystemClock().NowMs();
+  EXPECT_FALSE(IsWhole(Post("/talk/1", "Request-Id: r1", "in").text));
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 2'500);
+}
+
+}  // namespace
+}  // namespace ring
--- a/tests/gateway_tables_test.cc
+++ b/tests/gateway_tables_test.cc
@@ -135,7 +135,7 @@
   const std::string stream =
       "id: 1\ndata: one\n\npersimmon: 2\nid: 2\ndata: two\ndata: lines\n\n";
   for (size_t cut = 1; cut < stream.size(); ++cut) {
-    EventStreamReader reader;
+    EventStreamReader reader({.event_bytes = 64, .data_bytes = 64});
     reader.Feed(stream.substr(0, cut));
     reader.Feed(stream.substr(cut));
     EXPECT_EQ(reader.data(), "one\ntwo\nlines\n");
@@ -146,7 +146,7 @@
 
 // Guards against an event that was cut off and counts as whole.
 TEST(EventStreamReader, UnfinishedEvent_IsNotCounted) {
-  EventStreamReader reader;
+  EventStreamReader reader({.event_bytes = 64, .data_bytes = 64});
   reader.Feed("id: 1\ndata: one\n\nid: 2\ndata: tw");
   EXPECT_EQ(reader.events(), 1);
   EXPECT_FALSE(reader.at_boundary());
