Place turns by the load of all entries; avoid engines that have become slow

Cause: an entry among 82 sees only its own turns: the busiest engine had 1.75 times the mean load, first bytes came 25 ms after sending at the median and 739 ms at p99; turns went to engines that took four times as long.

Ruled out: reports of entries merged and pushed by keepers (older than a round trip, and every entry sees the same idle engine at once); one entry an engine (a failure domain has more entries than engines).

Change: a turn's begin offers up to 16 upstreams with their cost apart from load; the state machine counts turns under way and the pace of each upstream against the median, chooses, and answers with its choice.

--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -273,6 +273,13 @@
 /// @returns its position, or nullopt if all are excluded
 std::optional<size_t> PlaceRequest(const PlacementInput& input);
 
+/// Chooses what is offered to the load board of the state group, which knows
+/// the turns of all entries.
+/// @returns the best few candidates by their cost apart from load
+std::vector<UpstreamOffer> OfferPlacements(const PlacementInput& input);
+/// @returns the prefill that the upstream of the previous turn would save
+int64_t CachedSavingUs(const PlacementInput& input);
+
 // --------------------------------------------------------------------- gateway
 
 struct GatewayInit {
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -31,6 +32,61 @@
   auto operator<=>(const UpstreamDeparture&) const = default;
 };
 
+/// Short name of an upstream instance in placements; never 0. Two instances
+/// with one key share their load, which costs a wait at most.
+uint32_t UpstreamKey(std::string_view instance);
+
+/// An upstream that could run a turn.
+struct UpstreamOffer {
+  uint32_t upstream = 0;  ///< UpstreamKey of the instance.
+  int64_t cost_us = 0;    ///< Expected wait for the first event, apart from load.
+  int32_t slots = 1;      ///< Requests that it runs at once.
+
+  auto operator<=>(const UpstreamOffer&) const = default;
+};
+
+/// Turns under way by upstream, over all entries, and how fast upstreams are
+/// compared with each other. A hint: it is not part of snapshots and decides
+/// nothing but where turns wait the least.
+///
+/// Answers the load of a burst over many entries, each of which sees a
+/// hundredth of it, and of engines of which some have become slow.
+class LoadBoard {
+ public:
+  /// A place where a turn is to run.
+  struct Placement {
+    uint32_t upstream = 0;
+    int32_t load = 0;  ///< Turns that are under way there.
+
+    auto operator<=>(const Placement&) const = default;
+  };
+
+  /// Chooses the offer with the least expected wait and counts the turn there
+  /// until it ends or `expires_ms` has passed.
+  /// @returns nullopt without offers
+  std::optional<Placement> Place(const std::string& turn,
+                                 const std::vector<UpstreamOffer>& offers,
+                                 int64_t expires_ms);
+  /// @param upstream that ran the turn
+  /// @param event_us mean time between its events; 0: not known
+  void End(const std::string& turn, uint32_t upstream, int64_t event_us);
+  /// Drops turns whose entry has not said how they ended. Called each second.
+  void Expire(int64_t now_ms);
+  int32_t load(uint32_t upstream) const;
+
+ private:
+  struct Turn {
+    uint32_t upstream = 0;
+    int64_t expires_ms = 0;
+  };
+  int64_t WaitUs(const UpstreamOffer& offer, int64_t usual_event_us) const;
+  int64_t UsualEventUs(const std::vector<UpstreamOffer>& offers) const;
+
+  std::map<std::string, Turn> turns_;
+  std::map<uint32_t, int32_t> loads_;
+  std::map<uint32_t, int64_t> event_us_;  ///< Moving means by upstream.
+};
+
 /// Told of changes as they are applied, on the thread of the group.
 class StateObserverI {
  public:
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -97,11 +97,32 @@
   }
 }
 
+void GatewayCall::NoteEvents(int64_t events_before) {
+  if (events_->events() > events_before) {
+    last_event_ms_ = gateway_.loop().now_ms();
+    if (first_event_ms_ == 0) {
+      first_event_ms_ = last_event_ms_;
+    }
+  }
+}
+
+int64_t GatewayCall::EventUs() const {
+  constexpr int64_t kFewEvents = 3;
+  constexpr int64_t kUsPerMs = 1'000;
+  if (!events_ || events_->events() < kFewEvents || held_back_ || sends_ > 1) {
+    return 0;
+  }
+  return (last_event_ms_ - first_event_ms_) * kUsPerMs /
+         (events_->events() - 1);
+}
+
 void GatewayCall::ForwardEvents(std::string_view bytes) {
+  const int64_t events_before = events_->events();
   if (!events_->Feed(bytes)) {
     metrics::Count("ring_upstream_oversized_streams_total");
     return OnExchangeFailed(ExchangeFailure::kMalformed);
   }
+  NoteEvents(events_before);
   if (!route_->resumable) {
     return Forward(bytes);
   }
@@ -127,6 +148,7 @@
   }
   caller_->WriteBody(bytes);
   if (caller_->unsent_bytes() > kMaxUnsent) {
+    held_back_ = true;
     connection_->SetReading(false);
   }
 }
--- a/src/gateway_call_turn.cc
+++ b/src/gateway_call_turn.cc
@@ -28,6 +28,8 @@
   }
   begin.budget_tokens = info_.budget_tokens.value_or(-1);
   begin.max_tokens = info_.max_output_tokens;
+  begin.wait_ms = static_cast<int32_t>(left_ms());
+  gateway_.Offer(service_, *this, begin);
   turn_->begun = true;
   gateway_.state().Propose(state_codec::EncodeBegin(begin),
                            std::min(kStateWaitMs, left_ms()),
@@ -62,6 +64,8 @@
           {Reason::kBadRequest, RunState::kNotRun, "the turn cannot be begun"});
   }
   last_upstream_ = outcome->last_upstream;
+  placed_ = outcome->placed;
+  placed_load_ = outcome->placed_load;
   if (!route_->keeps_turns) {
     return Send();
   }
@@ -98,11 +102,12 @@
   finish.program = ledger();
   finish.tokens = events_->events() * turn_->tokens_per_event;
   finish.complete = keep;
+  finish.upstream = upstream_.instance;
+  finish.event_us = static_cast<int32_t>(EventUs());
   if (keep) {
     finish.previous = info_.previous_turn;
     finish.text = PackText(request_.body + events_->data());
     finish.retention_ms = route_->retention_ms;
-    finish.upstream = upstream_.instance;
     auto text = std::make_shared<std::string>(std::move(turn_->body));
     text->append(events_->data());
     gateway_.chains().Put(info_.id, std::move(text));
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -312,7 +312,8 @@
       .Add("for_ms", pause_ms);
 }
 
-std::optional<Gateway::Impl::Placed> Gateway::Impl::Place(
+PlacementInput Gateway::Impl::InputFor(
+    const std::vector<const UpstreamInstance*>& ready,
     const std::string& service,
     const GatewayCall& call) const {
   const ServiceSpec* spec = table_->FindService(service);
@@ -320,7 +321,6 @@
   input.engine = spec != nullptr && spec->engine.has_value();
   input.prompt_tokens = call.info().prompt_tokens;
   input.random = call.random();
-  const auto ready = upstreams_.Ready(service);
   for (const UpstreamInstance* upstream : ready) {
     PlacementCandidate candidate;
     candidate.instance = upstream->instance;
@@ -339,6 +339,21 @@
     candidate.cold = upstream->cold_left_ms > 0;
     input.candidates.push_back(std::move(candidate));
   }
+  return input;
+}
+
+std::optional<Gateway::Impl::Placed> Gateway::Impl::Place(
+    const std::string& service,
+    const GatewayCall& call) const {
+  const auto ready = upstreams_.Ready(service);
+  const PlacementInput input = InputFor(ready, service, call);
+  for (size_t i = 0; i < ready.size() && call.placed() != 0; ++i) {
+    const PlacementCandidate& candidate = input.candidates[i];
+    if (!candidate.tried && !candidate.suspected &&
+        UpstreamKey(candidate.instance) == call.placed()) {
+      return Placed{*ready[i], call.placed_load(), ready.size()};
+    }
+  }
   const auto chosen = PlaceRequest(input);
   if (!chosen) {
     return std::nullopt;
@@ -347,6 +362,24 @@
                 ready.size()};
 }
 
+void Gateway::Impl::Offer(const std::string& service,
+                          const GatewayCall& call,
+                          fb::BeginTurnT& begin) const {
+  constexpr int64_t kCostUnitUs = 100;
+  const auto units = [](int64_t us) {
+    return static_cast<uint16_t>(
+        std::clamp<int64_t>(us / kCostUnitUs, 0, UINT16_MAX));
+  };
+  const PlacementInput input =
+      InputFor(upstreams_.Ready(service), service, call);
+  for (const UpstreamOffer& offer : OfferPlacements(input)) {
+    begin.offers.emplace_back(
+        offer.upstream, units(offer.cost_us),
+        static_cast<uint8_t>(std::clamp(offer.slots, 1, UINT8_MAX)));
+  }
+  begin.cached_cost = units(CachedSavingUs(input));
+}
+
 // --------------------------------------------------------------------- ending
 
 void Gateway::Impl::Drain(std::function<void()> done) {
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -54,6 +54,10 @@
   /// @param tried instances that have answered this call before
   std::optional<Placed> Place(const std::string& service,
                               const GatewayCall& call) const;
+  /// Adds the upstreams that could run a turn.
+  void Offer(const std::string& service,
+             const GatewayCall& call,
+             fb::BeginTurnT& begin) const;
   void NoteSent(const std::string& instance) { ++in_flight_[instance]; }
   void NoteEnded(const std::string& instance);
   void NoteFailure(const UpstreamInstance& upstream, Reason reason);
@@ -83,6 +87,9 @@
  private:
   class ReadyHandler;
 
+  PlacementInput InputFor(const std::vector<const UpstreamInstance*>& ready,
+                          const std::string& service,
+                          const GatewayCall& call) const;
   void OnUpstreamUpdate(const std::string& node, const std::string& payload);
   void OnConfigNotice(SessionHandle session, const std::string& payload);
   void OnKeeperList(const std::string& payload);
@@ -138,6 +145,9 @@
   const std::set<std::string>& tried() const { return tried_; }
   const std::string& last_upstream() const { return last_upstream_; }
   uint64_t random() const { return random_; }
+  /// UpstreamKey of the place that the load board chose; 0: none.
+  uint32_t placed() const { return placed_; }
+  int32_t placed_load() const { return placed_load_; }
 
   // HttpExchangeListenerI
   bool OnResponseHead(HttpHead head) override;
@@ -178,6 +188,9 @@
   void RestartEvents();
   void SendAgain();
   void RetryOrRefuse(const Refusal& refusal);
+  void NoteEvents(int64_t events_before);
+  /// @returns mean time between the events of the upstream; 0: not known
+  int64_t EventUs() const;
   bool IsOwnAnswer(const UpstreamAnswer& answer) const;
   void StartForwarding();
   void Forward(std::string_view bytes);
@@ -211,6 +224,8 @@
 
   std::unique_ptr<Turn> turn_;  ///< If the state group records the request.
   std::string last_upstream_;   ///< Ran the previous turn.
+  uint32_t placed_ = 0;
+  int32_t placed_load_ = 0;
 
   // The attempt under way.
   UpstreamInstance upstream_;
@@ -239,6 +254,9 @@
   std::string buffered_;
   std::optional<EventStreamReader> events_;  ///< Of streams.
   std::string open_event_;  ///< Start of an event that may be resumed.
+  int64_t first_event_ms_ = 0;
+  int64_t last_event_ms_ = 0;
+  bool held_back_ = false;  ///< The caller took the response slowly.
   bool forwarding_ = false;
   bool response_done_ = false;
   bool ended_ = false;
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -28,33 +28,46 @@
 constexpr int64_t kFailingUs = 10'000;
 constexpr int64_t kTriedUs = 10'000'000;
 constexpr int64_t kTieUs = 400;
+// Offers of one turn, in and outside of the region: they travel with the log
+// entry of the turn to every keeper, 8 bytes each.
+constexpr size_t kNearOffers = 12;
+constexpr size_t kFarOffers = 4;
 
-int64_t CostUs(const PlacementInput& input,
-               const PlacementCandidate& candidate) {
+int64_t PrefillUs(int64_t tokens) {
+  return std::max<int64_t>(tokens, 0) * kUsPerMs / kPrefillTokensPerMs;
+}
+
+// What does not depend on the requests that are under way.
+int64_t FixedCostUs(const PlacementInput& input,
+                    const PlacementCandidate& candidate) {
   int64_t cost = 0;
   if (!candidate.same_region) {
     cost += kOtherRegionUs;
   } else if (!candidate.same_domain) {
     cost += kOtherDomainUs;
   }
+  if (input.engine) {
+    cost += PrefillUs(input.prompt_tokens - candidate.cached_tokens);
+  }
+  cost += candidate.cold ? kColdUs : 0;
+  cost += candidate.suspected ? kSuspectedUs : 0;
+  cost += candidate.failure_percent * kFailingUs;
+  cost += candidate.tried ? kTriedUs : 0;
+  return cost;
+}
+
+int64_t LoadCostUs(const PlacementInput& input,
+                   const PlacementCandidate& candidate) {
   const int64_t slots = std::max(candidate.slots, 1);
   const int64_t load = candidate.in_flight;
-  cost += load * kBatchedUs;
+  int64_t cost = load * kBatchedUs;
   if (load >= slots) {
     cost += (load - slots + 1) * kQueuedUs / slots + kQueuedUs / 2;
   }
-  if (input.engine) {
-    const int64_t uncached =
-        std::max<int64_t>(input.prompt_tokens - candidate.cached_tokens, 0);
-    cost += uncached * kUsPerMs / kPrefillTokensPerMs;
-  } else {
+  if (!input.engine) {
     // Plain services slow down when they are nearly full.
     cost += load * kQueuedUs / (slots * 4);
   }
-  cost += candidate.cold ? kColdUs : 0;
-  cost += candidate.suspected ? kSuspectedUs : 0;
-  cost += candidate.failure_percent * kFailingUs;
-  cost += candidate.tried ? kTriedUs : 0;
   return cost;
 }
 
@@ -71,7 +84,9 @@
   std::optional<size_t> best;
   int64_t best_cost = 0;
   for (size_t i = 0; i < input.candidates.size(); ++i) {
-    const int64_t cost = CostUs(input, input.candidates[i]) + TieUs(input, i);
+    const int64_t cost = FixedCostUs(input, input.candidates[i]) +
+                         LoadCostUs(input, input.candidates[i]) +
+                         TieUs(input, i);
     if (!best || cost < best_cost) {
       best = i;
       best_cost = cost;
@@ -80,4 +95,32 @@
   return best;
 }
 
+std::vector<UpstreamOffer> OfferPlacements(const PlacementInput& input) {
+  std::vector<UpstreamOffer> near;
+  std::vector<UpstreamOffer> far;
+  for (size_t i = 0; i < input.candidates.size(); ++i) {
+    const PlacementCandidate& candidate = input.candidates[i];
+    if (!candidate.tried && !candidate.suspected) {
+      (candidate.same_region ? near : far)
+          .push_back({UpstreamKey(candidate.instance),
+                      FixedCostUs(input, candidate) + TieUs(input, i),
+                      candidate.slots});
+    }
+  }
+  const auto keep_best = [](std::vector<UpstreamOffer>& offers, size_t count) {
+    std::sort(offers.begin(), offers.end(), [](const auto& a, const auto& b) {
+      return a.cost_us < b.cost_us;
+    });
+    offers.resize(std::min(offers.size(), count));
+  };
+  keep_best(far, near.empty() ? kNearOffers : kFarOffers);
+  keep_best(near, kNearOffers);
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
+int64_t CachedSavingUs(const PlacementInput& input) {
+  return PrefillUs(input.prompt_tokens);
+}
+
 }  // namespace ring
--- /dev/null
+++ b/src/state_load.cc
@@ -0,0 +1,142 @@
+#include <algorithm>
+
+#include "persimmonring/state.h"
+
+namespace ring {
+namespace {
+
+// Requests in one batch share its steps, and the prompt of each new one delays
+// the others: about 1,200 tokens at 60 tokens/ms, spread over a turn.
+constexpr int64_t kBatchedUs = 2'000;
+// Time that a turn holds a slot: 12 events of 6 tokens at 3.4 ms a step, from
+// the deployment sheets, and its prompt.
+constexpr int64_t kTurnUs = 300'000;
+// Events of a typical turn, from the sheets (6 to 12).
+constexpr int64_t kEvents = 12;
+// Weight of the newest turn in the mean of an upstream: the last three count.
+constexpr int64_t kNewestPercent = 35;
+constexpr int64_t kPercent = 100;
+// A slow upstream gets few turns that would show it to be well again. Each
+// second its mean moves towards that of the others by this part.
+constexpr int64_t kForgetPart = 4;
+
+// Half of the values do not move it, however slow their upstreams are.
+int64_t MedianOf(std::vector<int64_t> values) {
+  if (values.empty()) {
+    return 0;
+  }
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+}  // namespace
+
+uint32_t UpstreamKey(std::string_view instance) {
+  const auto key = static_cast<uint32_t>(Checksum(instance));
+  return key == 0 ? 1 : key;
+}
+
+int64_t LoadBoard::WaitUs(const UpstreamOffer& offer,
+                          int64_t usual_event_us) const {
+  const int64_t slots = std::max(offer.slots, 1);
+  const int64_t running = load(offer.upstream);
+  int64_t wait_us = offer.cost_us + running * kBatchedUs;
+  if (running >= slots) {
+    wait_us += (running - slots + 1) * kTurnUs / slots;
+  }
+  const auto found = event_us_.find(offer.upstream);
+  if (found != event_us_.end()) {
+    wait_us += std::max<int64_t>(found->second - usual_event_us, 0) * kEvents;
+  }
+  return wait_us;
+}
+
+int64_t LoadBoard::UsualEventUs(
+    const std::vector<UpstreamOffer>& offers) const {
+  std::vector<int64_t> known;
+  for (const UpstreamOffer& offer : offers) {
+    const auto found = event_us_.find(offer.upstream);
+    if (found != event_us_.end()) {
+      known.push_back(found->second);
+    }
+  }
+  return MedianOf(std::move(known));
+}
+
+std::optional<LoadBoard::Placement> LoadBoard::Place(
+    const std::string& turn,
+    const std::vector<UpstreamOffer>& offers,
+    int64_t expires_ms) {
+  if (const auto found = turns_.find(turn); found != turns_.end()) {
+    return Placement{found->second.upstream, load(found->second.upstream)};
+  }
+  if (offers.empty()) {
+    return std::nullopt;
+  }
+  const int64_t usual_us = UsualEventUs(offers);
+  const UpstreamOffer* best = nullptr;
+  int64_t best_us = 0;
+  for (const UpstreamOffer& offer : offers) {
+    const int64_t wait_us = WaitUs(offer, usual_us);
+    if (best == nullptr || wait_us < best_us) {
+      best = &offer;
+      best_us = wait_us;
+    }
+  }
+  const Placement placement{best->upstream, load(best->upstream)};
+  turns_[turn] = {best->upstream, expires_ms};
+  ++loads_[best->upstream];
+  return placement;
+}
+
+void LoadBoard::End(const std::string& turn,
+                    uint32_t upstream,
+                    int64_t event_us) {
+  const auto found = turns_.find(turn);
+  if (found != turns_.end()) {
+    const auto load = loads_.find(found->second.upstream);
+    if (load != loads_.end() && --load->second <= 0) {
+      loads_.erase(load);
+    }
+    turns_.erase(found);
+  }
+  if (event_us > 0) {
+    const auto [mean, first] = event_us_.try_emplace(upstream, event_us);
+    if (!first) {
+      mean->second = (mean->second * (kPercent - kNewestPercent) +
+                      event_us * kNewestPercent) /
+                     kPercent;
+    }
+  }
+}
+
+void LoadBoard::Expire(int64_t now_ms) {
+  for (auto it = turns_.begin(); it != turns_.end();) {
+    const auto turn = it++;
+    if (turn->second.expires_ms < now_ms) {
+      End(std::string(turn->first), 0, 0);
+    }
+  }
+  std::vector<int64_t> known;
+  for (const auto& [upstream, mean] : event_us_) {
+    known.push_back(mean);
+  }
+  const int64_t usual_us = MedianOf(std::move(known));
+  for (auto& [upstream, mean] : event_us_) {
+    mean -= (mean - usual_us) / kForgetPart;
+  }
+  // Upstreams that are gone leave nothing but their mean.
+  constexpr size_t kMaxMeans = 10'000;
+  if (event_us_.size() > kMaxMeans) {
+    event_us_.clear();
+  }
+}
+
+int32_t LoadBoard::load(uint32_t upstream) const {
+  const auto found = loads_.find(upstream);
+  return found == loads_.end() ? 0 : found->second;
+}
+
+}  // namespace ring
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -150,9 +150,33 @@
     result.last_upstream = before->second.turn->upstream;
     CollectChain(previous, TextOf(command.known()), result);
   }
+  PlaceTurn(command, result);
   return result;
 }
 
+void RingStateMachine::Impl::PlaceTurn(const fb::BeginTurn& command,
+                                       fb::StateResultT& result) {
+  if (command.offers() == nullptr) {
+    return;
+  }
+  constexpr int64_t kCostUnitUs = 100;
+  const uint32_t before =
+      result.last_upstream.empty() ? 0 : UpstreamKey(result.last_upstream);
+  std::vector<UpstreamOffer> offers;
+  for (const fb::PlacementOffer* offer : *command.offers()) {
+    int64_t cost = offer->cost();
+    if (offer->upstream() == before) {
+      cost = std::max<int64_t>(cost - command.cached_cost(), 0);
+    }
+    offers.push_back({offer->upstream(), cost * kCostUnitUs, offer->slots()});
+  }
+  if (const auto placement = board_.Place(TextFrom(command.turn()), offers,
+                                          now_ms_ + command.wait_ms())) {
+    result.placed = placement->upstream;
+    result.placed_load = static_cast<uint16_t>(placement->load);
+  }
+}
+
 void RingStateMachine::Impl::CollectChain(const std::string& turn,
                                           std::string_view known,
                                           fb::StateResultT& result) const {
@@ -168,6 +192,8 @@
 }
 
 fb::StateResultT RingStateMachine::Impl::Finish(const fb::FinishTurn& command) {
+  board_.End(TextFrom(command.turn()), UpstreamKey(TextOf(command.upstream())),
+             command.event_us());
   const auto found = programs_.find(TextFrom(command.program()));
   if (found != programs_.end()) {
     Program& program = found->second;
@@ -216,6 +242,7 @@
 }
 
 void RingStateMachine::Impl::Expire() {
+  board_.Expire(now_ms_);
   std::erase_if(turns_, [this](const auto& item) {
     return item.second.expires_ms < now_ms_;
   });
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -58,6 +58,8 @@
   fb::StateResultT Finish(const fb::FinishTurn& command);
   fb::StateResultT Retire(const fb::OrderRetire& command);
   void Expire();
+  /// Chooses among the offers of a turn that has begun.
+  void PlaceTurn(const fb::BeginTurn& command, fb::StateResultT& result);
   void KeepTurn(const fb::FinishTurn& command);
   /// Makes the turn and all before it last at least until a time.
   void ExtendChain(const std::string& turn, int64_t expires_ms);
@@ -85,6 +87,7 @@
   std::map<std::string, Program> programs_;
   std::map<std::string_view, TurnSlot> turns_;  ///< By the id in the slot.
   std::set<std::string> retired_;
+  LoadBoard board_;  ///< Not part of snapshots.
 };
 
 }  // namespace ring
