Quarantine requests that crash each upstream that runs them

Cause: on the gateway's path nothing remembered that a request had crashed an upstream; a repeated one crashed server after server.

Ruled out: counting resets alone (grey servers and cut connections reset as well, and popular reads are alike); counting at each entry, since repetitions arrive anywhere.

Change: after a broken exchange an entry looks whether the upstream refuses a connection; then it reports the requests that were under way.

--- a/fakes/scripted_upstream.h
+++ b/fakes/scripted_upstream.h
@@ -61,6 +61,12 @@
     std::lock_guard lock(mutex_);
     return requests_;
   }
+  /// Refuses new connections from now on, as a crashed process does.
+  void StopListening() {
+    if (!closed_.exchange(true)) {
+      shutdown(listen_fd_, SHUT_RDWR);
+    }
+  }
   int connections() const { return connections_.load(); }
   /// @returns true once a peer has closed a connection that stalls
   bool abandoned() const { return abandoned_.load(); }
@@ -75,8 +81,11 @@
 
   void Accept() {
     while (!stop_.load()) {
-      if (Readable(listen_fd_)) {
+      if (!closed_.load() && Readable(listen_fd_)) {
         const int fd = accept(listen_fd_, nullptr, nullptr);
+        if (fd < 0) {
+          continue;
+        }
         connections_.fetch_add(1);
         serving_.emplace_back([this, fd] { Serve(fd); });
       }
@@ -150,6 +159,7 @@
   Endpoint endpoint_;
   std::atomic<bool> stop_{false};
   std::atomic<bool> abandoned_{false};
+  std::atomic<bool> closed_{false};
   std::atomic<int> connections_{0};
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -87,6 +87,43 @@
   std::map<uint32_t, int64_t> event_us_;  ///< Moving means by upstream.
 };
 
+/// A request that was under way when upstreams crashed.
+struct SuspectedRequest {
+  uint64_t digest = 0;  ///< Of method, path, object and body.
+  int32_t crashes = 0;  ///< Incarnations of upstreams that crashed under it.
+
+  auto operator<=>(const SuspectedRequest&) const = default;
+};
+
+/// A request that crashed this many upstreams is run no more.
+constexpr int32_t kCrashesToQuarantine = 3;
+
+/// Collects which requests were under way when upstreams crashed. An innocent
+/// request is cleared by its first answer; one that crashes whatever runs it
+/// never has one.
+class SuspectBoard {
+ public:
+  struct Record {
+    std::set<uint32_t> upstreams;  ///< UpstreamKey of each incarnation.
+    int64_t reported_ms = 0;
+
+    auto operator<=>(const Record&) const = default;
+  };
+
+  /// @returns true if something changed
+  bool Report(uint64_t digest, uint32_t upstream, int64_t now_ms);
+  bool Clear(uint64_t digest) { return records_.erase(digest) > 0; }
+  bool Expire(int64_t now_ms);
+  std::vector<SuspectedRequest> List() const;
+  const std::map<uint64_t, Record>& records() const { return records_; }
+  void Load(uint64_t digest, Record record) {
+    records_[digest] = std::move(record);
+  }
+
+ private:
+  std::map<uint64_t, Record> records_;  ///< By digest.
+};
+
 /// Told of changes as they are applied, on the thread of the group.
 class StateObserverI {
  public:
@@ -96,6 +133,7 @@
   virtual void OnUpstream(const fb::RegisterUpstreamT& upstream) = 0;
   virtual void OnDeparture(const UpstreamDeparture& departure) = 0;
   virtual void OnRetire(const std::set<std::string>& nodes) = 0;
+  virtual void OnSuspects(const std::vector<SuspectedRequest>& requests) = 0;
 };
 
 /// State machine of the group.
@@ -140,6 +178,8 @@
 std::string EncodeDeparture(const UpstreamDeparture& departure);
 std::string EncodeBegin(const fb::BeginTurnT& begin);
 std::string EncodeFinish(const fb::FinishTurnT& finish);
+std::string EncodeCrash(const fb::ReportCrashT& crash);
+std::string EncodeClearSuspect(uint64_t digest);
 std::string EncodeRetire(const std::string& node);
 std::string EncodeExpire();
 /// @param configuration include the document in the result
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -22,6 +22,8 @@
 constexpr int64_t kPatienceShare = 3;
 // Another entry can take the request at once.
 constexpr int64_t kDrainRetryAfterMs = 20;
+// A quarantined request may run again once nobody has sent it for a while.
+constexpr int64_t kQuarantineRetryAfterMs = 120'000;
 constexpr int64_t kMsPerSecond = 1'000;
 
 int StatusOf(const Refusal& refusal) {
@@ -146,6 +148,11 @@
     return Refuse({Reason::kBadRequest, RunState::kNotRun,
                    "streams of this route cannot be resumed"});
   }
+  if (IsQuarantined()) {
+    return Refuse({Reason::kQuarantined, RunState::kNotRun,
+                   "the request has crashed the upstreams that ran it",
+                   kQuarantineRetryAfterMs});
+  }
   deadline_timer_.Start(wait_ms, [this] { OnDeadline(); });
   ChooseService();
   if (is_stream()) {
@@ -158,6 +165,11 @@
   }
 }
 
+bool GatewayCall::IsQuarantined() {
+  return !gateway_.suspects().empty() &&
+         gateway_.suspects().crashes(digest()) >= kCrashesToQuarantine;
+}
+
 // A budget without a program is that of the request alone.
 const std::string& GatewayCall::ledger() const {
   return info_.program.empty() ? info_.id : info_.program;
@@ -303,6 +315,7 @@
   if (!never_left) {
     maybe_run_ = true;
     ++runs_;
+    gateway_.NoteBroken(upstream_, digest());
   }
   RetryOrRefuse(
       {reason,
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -180,6 +180,10 @@
   } else {
     gateway_.NoteSuccess(upstream_.instance);
   }
+  if (!gateway_.suspects().empty() &&
+      gateway_.suspects().crashes(digest()) > 0) {
+    gateway_.ClearSuspect(digest());
+  }
   if (status_ >= kServerError && may_repeat() && can_send_again()) {
     metrics::CountRetry(Reason::kUpstreamError);
     return SendAgain();
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -13,6 +13,8 @@
 // A started entry that knows little expects to learn more for this time.
 constexpr int64_t kStartMs = 6'000;
 constexpr int64_t kDrainCheckMs = 50;
+// A crash of an upstream is reported within this time or not at all.
+constexpr int64_t kReportMs = 5'000;
 // Left for the process to end before it is killed.
 constexpr int64_t kGraceMarginMs = 400;
 constexpr int64_t kPruneMs = 5'000;
@@ -65,7 +67,10 @@
       protocol_(protocol),
       loop_(loop),
       pool_(loop),
-      chains_(init.chain_cache_bytes) {}
+      chains_(init.chain_cache_bytes),
+      crash_watch_(loop, [this](const auto& upstream, const auto& digests) {
+        ReportCrash(upstream, digests);
+      }) {}
 
 Gateway::Impl::~Impl() = default;
 
@@ -156,6 +161,8 @@
       return OnConfigNotice(session, frame.payload);
     case FrameKind::KeeperList:
       return OnKeeperList(frame.payload);
+    case FrameKind::SuspectList:
+      return OnSuspectList(frame.payload);
     default:
       return;
   }
@@ -261,6 +268,41 @@
   }
 }
 
+void Gateway::Impl::OnSuspectList(const std::string& payload) {
+  const FlatView<fb::SuspectList> list(payload);
+  if (!list) {
+    return;
+  }
+  std::vector<SuspectedRequest> requests;
+  if (list->requests() != nullptr) {
+    for (const fb::SuspectedRequest* row : *list->requests()) {
+      requests.push_back(
+          {row->digest(), static_cast<int32_t>(row->crashes())});
+      Event(LogLevel::kInfo, "request_suspected")
+          .Add("digest", row->digest())
+          .Add("crashes", uint64_t{row->crashes()});
+    }
+  }
+  suspects_.Set(requests);
+}
+
+void Gateway::Impl::ReportCrash(const UpstreamInstance& upstream,
+                                const std::set<uint64_t>& digests) {
+  metrics::Count("ring_upstream_crashes_total");
+  Event(LogLevel::kWarn, "upstream_crashed")
+      .Add("upstream", upstream.instance)
+      .Add("requests", uint64_t{digests.size()});
+  fb::ReportCrashT crash;
+  crash.upstream = upstream.instance;
+  crash.born_ms = upstream.born_ms;
+  crash.digests.assign(digests.begin(), digests.end());
+  state_->Propose(state_codec::EncodeCrash(crash), kReportMs, nullptr);
+}
+
+void Gateway::Impl::ClearSuspect(uint64_t digest) {
+  state_->Propose(state_codec::EncodeClearSuspect(digest), kReportMs, nullptr);
+}
+
 // ------------------------------------------------------------------- requests
 
 void Gateway::Impl::OnRequest(HttpServerConnection& connection,
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -11,6 +11,7 @@
 #include "gateway_events_p.h"
 #include "gateway_health_p.h"
 #include "gateway_pool_p.h"
+#include "gateway_suspects_p.h"
 #include "persimmonring/gateway.h"
 
 namespace ring {
@@ -61,6 +62,13 @@
   void NoteSent(const std::string& instance) { ++in_flight_[instance]; }
   void NoteEnded(const std::string& instance);
   void NoteFailure(const UpstreamInstance& upstream, Reason reason);
+  /// The connection to an upstream broke while it had a request.
+  void NoteBroken(const UpstreamInstance& upstream, uint64_t digest) {
+    crash_watch_.OnBroken(upstream, digest);
+  }
+  SuspectTable& suspects() { return suspects_; }
+  /// A request that is suspected to crash upstreams has been answered.
+  void ClearSuspect(uint64_t digest);
   void NoteError(const std::string& instance) { health_.OnError(instance); }
   void NoteSuccess(const std::string& instance) { health_.OnSuccess(instance); }
   /// @returns false if no keeper has answered for a while
@@ -93,6 +101,9 @@
   void OnUpstreamUpdate(const std::string& node, const std::string& payload);
   void OnConfigNotice(SessionHandle session, const std::string& payload);
   void OnKeeperList(const std::string& payload);
+  void OnSuspectList(const std::string& payload);
+  void ReportCrash(const UpstreamInstance& upstream,
+                   const std::set<uint64_t>& digests);
   void FetchConfiguration();
   void ResumeWaiting();
   void Install(const std::string& document);
@@ -113,6 +124,8 @@
   UpstreamTable upstreams_;
   std::unordered_map<std::string, int32_t> in_flight_;  ///< By instance.
   UpstreamHealth health_;
+  CrashWatch crash_watch_;
+  SuspectTable suspects_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<ReadyHandler> ready_handler_;
   std::unique_ptr<HttpServer> ready_server_;
@@ -180,6 +193,9 @@
   /// @param keep the turn was answered whole and may be continued
   void FinishTurn(bool keep, std::function<void(bool kept)> then);
   void ChooseService();
+  /// @returns true if the request has crashed too many upstreams
+  bool IsQuarantined();
+  uint64_t digest() const { return RequestDigest(request_, info_); }
   void Send();
   void SendTo(const Gateway::Impl::Placed& placed);
   void OnConnectTimeout();
--- a/src/registrar_p.h
+++ b/src/registrar_p.h
@@ -57,6 +57,7 @@
   void OnSettled();
   void OnConfiguration(uint64_t version);
   void OnDeparture(const UpstreamDeparture& departure);
+  void OnSuspects(const std::vector<SuspectedRequest>& requests);
   void OnRegistered(const fb::RegisterUpstreamT& upstream);
 
   StateClient& state() { return *state_; }
@@ -95,6 +96,7 @@
   void PushDeparture(const UpstreamDeparture& departure,
                      std::optional<SessionHandle> only);
   void PushConfigNotice(std::optional<SessionHandle> only);
+  void PushSuspects(std::optional<SessionHandle> only);
   void PushKeepers(std::optional<SessionHandle> only);
   /// Tells an entry all that is known.
   void Welcome(SessionHandle session);
@@ -113,6 +115,7 @@
   std::map<SessionHandle, std::string> keepers_;
   std::map<std::string, std::string> vms_;  // VM to the address of its keeper.
   LogConfig members_;
+  std::vector<SuspectedRequest> suspects_;
   uint64_t version_ = 0;
   bool settled_ = false;
 };
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -208,6 +208,10 @@
   impl_->loop().Post([this, departure] { impl_->OnDeparture(departure); });
 }
 
+void Registrar::OnSuspects(const std::vector<SuspectedRequest>& requests) {
+  impl_->loop().Post([this, requests] { impl_->OnSuspects(requests); });
+}
+
 void Registrar::OnRetire(const std::set<std::string>& nodes) {
   std::lock_guard lock(impl_->mutex);
   impl_->retired = nodes;
--- a/src/registrar_sessions.cc
+++ b/src/registrar_sessions.cc
@@ -89,6 +89,26 @@
                 only);
 }
 
+void Registrar::Impl::OnSuspects(
+    const std::vector<SuspectedRequest>& requests) {
+  if (requests != suspects_) {
+    suspects_ = requests;
+    PushSuspects(std::nullopt);
+  }
+}
+
+void Registrar::Impl::PushSuspects(std::optional<SessionHandle> only) {
+  fb::SuspectListT list;
+  for (const SuspectedRequest& request : suspects_) {
+    list.requests.emplace_back(request.digest,
+                               static_cast<uint32_t>(request.crashes));
+  }
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(fb::CreateSuspectList(builder, &list));
+  SendToEntries({.kind = FrameKind::SuspectList, .payload = BytesOf(builder)},
+                only);
+}
+
 void Registrar::Impl::PushKeepers(std::optional<SessionHandle> only) {
   fb::KeeperListT list;
   for (const Member& member : members_.members) {
@@ -153,6 +173,9 @@
     PushDeparture({key.first, key.second, gone}, session);
   }
   PushConfigNotice(session);
+  if (!suspects_.empty()) {
+    PushSuspects(session);
+  }
   PushKeepers(session);
 }
 
--- a/src/state_codec.cc
+++ b/src/state_codec.cc
@@ -43,6 +43,16 @@
   return EncodeCommand(finish);
 }
 
+std::string EncodeCrash(const fb::ReportCrashT& crash) {
+  return EncodeCommand(crash);
+}
+
+std::string EncodeClearSuspect(uint64_t digest) {
+  fb::ClearSuspectT clear;
+  clear.digest = digest;
+  return EncodeCommand(std::move(clear));
+}
+
 std::string EncodeRetire(const std::string& node) {
   fb::OrderRetireT order;
   order.node = node;
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -63,6 +63,10 @@
       return Result(fb::StateCode::Done);
     case fb::StateCommandBody::RegisterUpstream:
       return Register(*command.body_as_RegisterUpstream());
+    case fb::StateCommandBody::ReportCrash:
+      return ReportCrash(*command.body_as_ReportCrash());
+    case fb::StateCommandBody::ClearSuspect:
+      return ClearSuspect(*command.body_as_ClearSuspect());
     case fb::StateCommandBody::NONE:
       break;
   }
@@ -241,8 +245,41 @@
   return Result(fb::StateCode::Done);
 }
 
+fb::StateResultT RingStateMachine::Impl::ReportCrash(
+    const fb::ReportCrash& command) {
+  const uint32_t upstream = UpstreamKey(TextFrom(command.upstream()) + "/" +
+                                        std::to_string(command.born_ms()));
+  bool changed = false;
+  if (command.digests() != nullptr) {
+    for (const uint64_t digest : *command.digests()) {
+      changed = suspects_.Report(digest, upstream, now_ms_) || changed;
+    }
+  }
+  if (changed) {
+    NotifySuspects();
+  }
+  return Result(fb::StateCode::Done);
+}
+
+fb::StateResultT RingStateMachine::Impl::ClearSuspect(
+    const fb::ClearSuspect& command) {
+  if (suspects_.Clear(command.digest())) {
+    NotifySuspects();
+  }
+  return Result(fb::StateCode::Done);
+}
+
+void RingStateMachine::Impl::NotifySuspects() const {
+  if (observer_ != nullptr) {
+    observer_->OnSuspects(suspects_.List());
+  }
+}
+
 void RingStateMachine::Impl::Expire() {
   board_.Expire(now_ms_);
+  if (suspects_.Expire(now_ms_)) {
+    NotifySuspects();
+  }
   std::erase_if(turns_, [this](const auto& item) {
     return item.second.expires_ms < now_ms_;
   });
@@ -295,6 +332,7 @@
     observer_->OnDeparture(departure.value);
   }
   observer_->OnRetire(retired_);
+  NotifySuspects();
 }
 
 RingStateMachine::RingStateMachine(const Init& init, StateObserverI* observer)
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -57,6 +57,9 @@
   fb::StateResultT Begin(const fb::BeginTurn& command);
   fb::StateResultT Finish(const fb::FinishTurn& command);
   fb::StateResultT Retire(const fb::OrderRetire& command);
+  fb::StateResultT ReportCrash(const fb::ReportCrash& command);
+  fb::StateResultT ClearSuspect(const fb::ClearSuspect& command);
+  void NotifySuspects() const;
   void Expire();
   /// Chooses among the offers of a turn that has begun.
   void PlaceTurn(const fb::BeginTurn& command, fb::StateResultT& result);
@@ -87,6 +90,7 @@
   std::map<std::string, Program> programs_;
   std::map<std::string_view, TurnSlot> turns_;  ///< By the id in the slot.
   std::set<std::string> retired_;
+  SuspectBoard suspects_;
   LoadBoard board_;  ///< Not part of snapshots.
 };
 
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -131,6 +131,13 @@
         std::make_unique<fb::RegisterUpstreamT>(registration.value));
   }
   head.retired.assign(retired_.begin(), retired_.end());
+  for (const auto& [digest, record] : suspects_.records()) {
+    auto row = std::make_unique<fb::SuspectRecordT>();
+    row->digest = digest;
+    row->upstreams.assign(record.upstreams.begin(), record.upstreams.end());
+    row->reported_ms = record.reported_ms;
+    head.suspects.push_back(std::move(row));
+  }
   return head;
 }
 
@@ -342,6 +349,11 @@
     registrations_[row->instance] = {*row, 0};
   }
   retired_.insert(head.retired.begin(), head.retired.end());
+  for (const auto& row : head.suspects) {
+    suspects_.Load(row->digest,
+                   {{row->upstreams.begin(), row->upstreams.end()},
+                    row->reported_ms});
+  }
 }
 
 }  // namespace ring
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -275,6 +275,42 @@
   EXPECT_LT(SystemClock().NowMs() - start_ms, 3'000);
 }
 
+// Guards against a request that crashes one upstream after the other.
+TEST_F(GatewayCallTest, RequestThatCrashesUpstreams_IsQuarantined) {
+  constexpr int kUpstreams = 6;
+  std::mutex mutex;
+  std::atomic<int> crashes{0};
+  for (int i = 0; i < kUpstreams; ++i) {
+    ServeTool([&](const std::string& request) {
+      if (request.find("/order/killer") == std::string::npos) {
+        return ScriptedReply{{Whole(200, request, "ok")}};
+      }
+      ++crashes;
+      const std::lock_guard lock(mutex);
+      for (const auto& upstream : upstreams_) {
+        // The last one asked is the one that serves this request.
+        const auto requests = upstream->requests();
+        if (!requests.empty() && requests.back() == request) {
+          upstream->StopListening();
+        }
+      }
+      return ScriptedReply{{}, Then::kReset};
+    });
+  }
+  ConfigureAll();
+  for (int i = 0; i < 2 * kUpstreams; ++i) {
+    Post("/order/killer", "Request-Id: k" + std::to_string(i), "x");
+    // Callers come back after some time; keepers tell entries meanwhile.
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  EXPECT_EQ(crashes.load(), kCrashesToQuarantine);
+  const CallerAnswer refused =
+      Post("/order/killer", "Request-Id: again", "x");
+  EXPECT_EQ(refused.status(), 503);
+  EXPECT_NE(refused.text.find("quarantined"), std::string::npos);
+  EXPECT_EQ(Post("/order/other", "Request-Id: o", "x").status(), 200);
+}
+
 // Guards against a smuggled second request.
 TEST_F(GatewayCallTest, LengthAndChunksTogether_AreRefused) {
   ServeTool([](const std::string& request) {
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -301,10 +301,14 @@
     departures.push_back(departure);
   }
   void OnRetire(const std::set<std::string>& /*nodes*/) override {}
+  void OnSuspects(const std::vector<SuspectedRequest>& requests) override {
+    suspects = requests;
+  }
 
   std::vector<uint64_t> versions;
   std::vector<std::string> upstreams;
   std::vector<UpstreamDeparture> departures;
+  std::vector<SuspectedRequest> suspects;
 };
 
 // Guards against entries that are not told, or told again and again.
@@ -329,5 +333,52 @@
   EXPECT_EQ(after.departures.size(), 1u);
 }
 
+fb::ReportCrashT CrashOf(const std::string& upstream, uint64_t digest) {
+  fb::ReportCrashT crash;
+  crash.upstream = upstream;
+  crash.born_ms = 1;
+  crash.digests = {digest};
+  return crash;
+}
+
+// Guards against a request that crashes one upstream after the other, also
+// after a restart of all keepers, and against an innocent one that is refused.
+TEST(RingStateSuspects, CrashesOfSeveralUpstreams_AreCountedUntilAnAnswer) {
+  Recorder recorder;
+  RingStateMachine machine({}, &recorder);
+  uint64_t index = 0;
+  const auto apply = [&](const std::string& command) {
+    machine.Apply(++index, 1'000, command);
+  };
+  for (const std::string upstream : {"i-1", "i-2", "i-2", "i-3"}) {
+    apply(state_codec::EncodeCrash(CrashOf(upstream, 7)));
+  }
+  apply(state_codec::EncodeCrash(CrashOf("i-1", 8)));
+  const std::vector<SuspectedRequest> both = {{7, kCrashesToQuarantine},
+                                              {8, 1}};
+  EXPECT_EQ(recorder.suspects, both);
+  Recorder after;
+  RingStateMachine copy({}, &after);
+  ASSERT_TRUE(copy.Load(machine.Save()).ok());
+  EXPECT_EQ(after.suspects, both);
+  apply(state_codec::EncodeClearSuspect(8));
+  EXPECT_EQ(recorder.suspects,
+            (std::vector<SuspectedRequest>{{7, kCrashesToQuarantine}}));
+}
+
+// Guards against memory that grows with every crash, and against suspicions
+// that last for ever.
+TEST(SuspectBoard, ManyRequests_AreBoundedInNumberAndTime) {
+  SuspectBoard board;
+  constexpr uint64_t kRequests = 5'000;
+  for (uint64_t i = 0; i < kRequests; ++i) {
+    board.Report(i, 1, static_cast<int64_t>(i));
+  }
+  EXPECT_LE(board.List().size(), 1'000u);
+  EXPECT_TRUE(board.records().contains(kRequests - 1));
+  EXPECT_TRUE(board.Expire(1'000'000));
+  EXPECT_TRUE(board.List().empty());
+}
+
 }  // namespace
 }  // namespace ring
