Keep chains at the engine that holds them; one estimate of an engine's queue

Change: entries remember which instance ran a turn and offer it; up to 32 near offers; reading a prompt counts four times; PlaceRequest and the load board share EngineWaitUs.

--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -45,6 +45,11 @@
   auto operator<=>(const UpstreamOffer&) const = default;
 };
 
+/// Expected wait at an engine for the turns that are under way there.
+/// @param running turns under way
+/// @param slots turns that it runs at once
+int64_t EngineWaitUs(int32_t running, int32_t slots);
+
 /// Turns under way by upstream, over all entries, and how fast upstreams are
 /// compared with each other. A hint: it is not part of snapshots and decides
 /// nothing but where turns wait the least.
--- a/src/gateway_call_turn.cc
+++ b/src/gateway_call_turn.cc
@@ -25,6 +25,7 @@
     turn_->chain = gateway_.chains().Find(info_.previous_turn);
     begin.previous = info_.previous_turn;
     begin.known = turn_->chain ? info_.previous_turn : "";
+    last_upstream_ = gateway_.chains().UpstreamOf(info_.previous_turn);
   }
   begin.budget_tokens = info_.budget_tokens.value_or(-1);
   begin.max_tokens = info_.max_output_tokens;
@@ -79,7 +80,7 @@
       }
       chain->append(*text);
     }
-    gateway_.chains().Put(info_.previous_turn, chain);
+    gateway_.chains().Put(info_.previous_turn, chain, last_upstream_);
     turn_->chain = std::move(chain);
   }
   if (turn_->chain) {
@@ -110,7 +111,7 @@
     finish.retention_ms = route_->retention_ms;
     auto text = std::make_shared<std::string>(std::move(turn_->body));
     text->append(events_->data());
-    gateway_.chains().Put(info_.id, std::move(text));
+    gateway_.chains().Put(info_.id, std::move(text), upstream_.instance);
   }
   const int64_t wait_ms =
       keep ? std::max<int64_t>(left_ms(), 1) : kFinishWaitMs;
--- a/src/gateway_chains.cc
+++ b/src/gateway_chains.cc
@@ -42,13 +42,20 @@
   return found->second.text;
 }
 
-void ChainCache::Put(const std::string& turn, Text text) {
+std::string ChainCache::UpstreamOf(const std::string& turn) const {
+  const auto found = entries_.find(turn);
+  return found == entries_.end() ? std::string() : found->second.upstream;
+}
+
+void ChainCache::Put(const std::string& turn,
+                     Text text,
+                     const std::string& upstream) {
   if (entries_.contains(turn) || text->size() > max_bytes_) {
     return;
   }
   bytes_ += text->size();
   order_.push_front(turn);
-  entries_[turn] = {std::move(text), order_.begin()};
+  entries_[turn] = {std::move(text), upstream, order_.begin()};
   while (bytes_ > max_bytes_) {
     const auto oldest = entries_.find(order_.back());
     bytes_ -= oldest->second.text->size();
--- a/src/gateway_chains_p.h
+++ b/src/gateway_chains_p.h
@@ -23,12 +23,16 @@
 
   explicit ChainCache(size_t max_bytes) : max_bytes_(max_bytes) {}
   Text Find(const std::string& turn);
-  void Put(const std::string& turn, Text text);
+  /// @returns the instance that ran a turn; empty if it is not known
+  std::string UpstreamOf(const std::string& turn) const;
+  /// @param upstream instance that ran the turn; empty: not known
+  void Put(const std::string& turn, Text text, const std::string& upstream);
   size_t bytes() const { return bytes_; }
 
  private:
   struct Entry {
     Text text;
+    std::string upstream;
     std::list<std::string>::iterator position;
   };
   const size_t max_bytes_;
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -419,7 +419,9 @@
         offer.upstream, units(offer.cost_us),
         static_cast<uint8_t>(std::clamp(offer.slots, 1, UINT8_MAX)));
   }
-  begin.cached_cost = units(CachedSavingUs(input));
+  // The state group knows where the previous turn ran if this entry does not.
+  begin.cached_cost =
+      call.last_upstream().empty() ? units(CachedSavingUs(input)) : 0;
 }
 
 // --------------------------------------------------------------------- ending
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -11,15 +11,18 @@
 // Prompt tokens that an engine of this class reads in a millisecond; from the
 // deployment sheets (61.2), rounded.
 constexpr int64_t kPrefillTokensPerMs = 60;
+// Requests of a batch that wait while a prompt is read, half of the usual slots
+// (6 to 16): a turn that leaves the engine that holds its chain delays them too.
+constexpr int64_t kDelayedByPrefill = 4;
 constexpr int64_t kUsPerMs = 1'000;
 // Round trips between domains of a region (0.5 to 1.4 ms one way) and between
 // regions (8 ms one way); the latter also pay for the narrow link.
 constexpr int64_t kOtherDomainUs = 3'000;
 constexpr int64_t kOtherRegionUs = 25'000;
-// Each running request slows the others of a batch a little.
+// Each running request slows the others of a plain service a little.
 constexpr int64_t kBatchedUs = 500;
-// Work of a request beyond the slots: about one turn on a busy engine, or one
-// call of a plain service.
+// Work of a request beyond the slots: about one call of a plain service, from
+// the deployment sheets (13 to 104 ms).
 constexpr int64_t kQueuedUs = 60'000;
 constexpr int64_t kColdUs = 20'000;
 constexpr int64_t kSuspectedUs = 2'000'000;
@@ -30,11 +33,12 @@
 constexpr int64_t kTieUs = 400;
 // Offers of one turn, in and outside of the region: they travel with the log
 // entry of the turn to every keeper, 8 bytes each.
-constexpr size_t kNearOffers = 12;
+constexpr size_t kNearOffers = 32;
 constexpr size_t kFarOffers = 4;
 
 int64_t PrefillUs(int64_t tokens) {
-  return std::max<int64_t>(tokens, 0) * kUsPerMs / kPrefillTokensPerMs;
+  return std::max<int64_t>(tokens, 0) * kUsPerMs * kDelayedByPrefill /
+         kPrefillTokensPerMs;
 }
 
 // What does not depend on the requests that are under way.
@@ -58,16 +62,16 @@
 
 int64_t LoadCostUs(const PlacementInput& input,
                    const PlacementCandidate& candidate) {
+  if (input.engine) {
+    return EngineWaitUs(candidate.in_flight, candidate.slots);
+  }
   const int64_t slots = std::max(candidate.slots, 1);
   const int64_t load = candidate.in_flight;
-  int64_t cost = load * kBatchedUs;
+  // Plain services slow down when they are nearly full.
+  int64_t cost = load * kBatchedUs + load * kQueuedUs / (slots * 4);
   if (load >= slots) {
     cost += (load - slots + 1) * kQueuedUs / slots + kQueuedUs / 2;
   }
-  if (!input.engine) {
-    // Plain services slow down when they are nearly full.
-    cost += load * kQueuedUs / (slots * 4);
-  }
   return cost;
 }
 
--- a/src/state_load.cc
+++ b/src/state_load.cc
@@ -38,14 +38,16 @@
   return key == 0 ? 1 : key;
 }
 
+int64_t EngineWaitUs(int32_t running, int32_t slots) {
+  const int64_t places = std::max(slots, 1);
+  const int64_t queued = std::max<int64_t>(running - places + 1, 0);
+  return running * kBatchedUs + queued * kTurnUs / places;
+}
+
 int64_t LoadBoard::WaitUs(const UpstreamOffer& offer,
                           int64_t usual_event_us) const {
-  const int64_t slots = std::max(offer.slots, 1);
-  const int64_t running = load(offer.upstream);
-  int64_t wait_us = offer.cost_us + running * kBatchedUs;
-  if (running >= slots) {
-    wait_us += (running - slots + 1) * kTurnUs / slots;
-  }
+  int64_t wait_us =
+      offer.cost_us + EngineWaitUs(load(offer.upstream), offer.slots);
   const auto found = event_us_.find(offer.upstream);
   if (found != event_us_.end()) {
     wait_us += std::max<int64_t>(found->second - usual_event_us, 0) * kEvents;
--- a/tests/gateway_placement_test.cc
+++ b/tests/gateway_placement_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "persimmonring/gateway.h"
@@ -77,5 +79,33 @@
   EXPECT_EQ(chosen.size(), 3u);
 }
 
+// Guards against a chain that is read again because the engine that holds it
+// is not among the offers, and against log entries that grow with the ring.
+TEST_F(PlacementTest, ManyCandidates_TheCachedOneIsAmongFewOffers) {
+  constexpr int kCandidates = 200;
+  for (int i = 0; i < kCandidates; ++i) {
+    input_.candidates.push_back(Near("near" + std::to_string(i)));
+    input_.candidates.push_back(Near("far" + std::to_string(i)));
+    input_.candidates.back().same_region = false;
+  }
+  input_.candidates[1].cached_tokens = input_.prompt_tokens;
+  const auto offers = OfferPlacements(input_);
+  EXPECT_LE(offers.size(), 40u);
+  EXPECT_TRUE(std::any_of(
+      offers.begin(), offers.end(), [](const UpstreamOffer& offer) {
+        return offer.upstream == UpstreamKey("far0");
+      }));
+}
+
+// Guards against offers of upstreams that have just failed.
+TEST_F(PlacementTest, TriedAndSuspected_AreNotOffered) {
+  input_.candidates = {Near("tried"), Near("suspected"), Near("well")};
+  input_.candidates[0].tried = true;
+  input_.candidates[1].suspected = true;
+  const auto offers = OfferPlacements(input_);
+  ASSERT_EQ(offers.size(), 1u);
+  EXPECT_EQ(offers[0].upstream, UpstreamKey("well"));
+}
+
 }  // namespace
 }  // namespace ring
--- a/tests/gateway_tables_test.cc
+++ b/tests/gateway_tables_test.cc
@@ -169,13 +169,13 @@
   const auto text = [](size_t size) {
     return std::make_shared<const std::string>(size, 'x');
   };
-  cache.Put("a", text(4));
-  cache.Put("b", text(4));
+  cache.Put("a", text(4), "i-1");
+  cache.Put("b", text(4), "i-1");
   EXPECT_NE(cache.Find("a"), nullptr);
-  cache.Put("c", text(4));
+  cache.Put("c", text(4), "i-1");
   EXPECT_EQ(cache.Find("b"), nullptr);
   EXPECT_NE(cache.Find("a"), nullptr);
-  cache.Put("huge", text(11));
+  cache.Put("huge", text(11), "i-1");
   EXPECT_EQ(cache.Find("huge"), nullptr);
   EXPECT_LE(cache.bytes(), 10u);
 }
