Serve connections that were accepted just before an entry ends

Cause: at the end of a planned stop every 50 ms all connections without a request were closed, also one accepted a moment before whose request was on its way; the process ended when no call was open, with connections still in the listener's queue.

Ruled out: ending later for all (the machine is away longer than needed).

Change: after the balancer's notice the listener takes in what waits and closes; new connections have a second for their first request; the process ends once no connection is left, or with its time.

Figures: EntryEnds_ConnectionJustAcceptedIsServed failed before (no answer), passes now.

--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -371,6 +371,8 @@
   ScopedTimer timer_;
   HttpRequest request_;
   std::string input_;  ///< Received, not parsed yet.
+  const int64_t accepted_ms_;
+  bool used_ = false;  ///< A request has been read.
   bool busy_ = false;  ///< A whole request has arrived and is not answered.
   bool complete_ = false;
   bool consuming_ = false;
@@ -396,7 +398,10 @@
   const HttpServerLimits& limits() const { return limits_; }
   /// Responses from now on end their connections.
   void StopKeepAlive() { keep_alive_ = false; }
-  /// Closes connections without a request under way.
+  /// Takes in the connections that are waiting and accepts no more.
+  void StopListening();
+  /// Closes connections without a request under way, but for new ones whose
+  /// first request is still on its way.
   void CloseIdle();
   size_t busy_connections() const;
   size_t connections() const { return connections_.size(); }
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -447,9 +447,10 @@
   if (since_ms < init_.drain_notice_ms) {
     return;
   }
+  server_->StopListening();
   server_->CloseIdle();
-  if ((calls_.empty() || since_ms > init_.grace_ms - kGraceMarginMs) &&
-      drained_) {
+  const bool idle = calls_.empty() && server_->connections() == 0;
+  if ((idle || since_ms > init_.grace_ms - kGraceMarginMs) && drained_) {
     Event(LogLevel::kInfo, "drained")
         .Add("requests_left", uint64_t{calls_.size()})
         .Add("took_ms", since_ms);
--- a/src/net_http_server.cc
+++ b/src/net_http_server.cc
@@ -17,6 +17,9 @@
 constexpr char kOverloadRetryAfter[] = "0.5";
 // Bytes of later requests that are kept while one is under way.
 constexpr size_t kMaxPipelined = 64u << 10;
+// A caller sends its first request within this time of connecting; callers give
+// a connection up after a second.
+constexpr int64_t kFirstRequestMs = 1'000;
 
 void AppendChunk(std::string& out, std::string_view bytes) {
   std::array<char, 20> size{};
@@ -40,7 +43,8 @@
       parser_(HttpParser::Kind::kRequest,
               *this,
               server.limits().max_header_bytes),
-      timer_(loop) {
+      timer_(loop),
+      accepted_ms_(loop.now_ms()) {
   connection_.SetListener(this);
   StartTimer();
 }
@@ -103,6 +107,7 @@
     }
     timer_.Stop();
     busy_ = true;
+    used_ = true;
     complete_ = false;
     server_.handler_.OnRequest(*this, std::move(request_));
   }
@@ -306,9 +311,19 @@
   connections_.erase(connection);
 }
 
+void HttpServer::StopListening() {
+  if (listener_) {
+    listener_->OnIo(0);
+    listener_.reset();
+  }
+}
+
 void HttpServer::CloseIdle() {
   for (const auto& [key, connection] : connections_) {
-    if (!connection->busy_ && !connection->parser_.started() &&
+    const bool fresh = !connection->used_ && loop_.now_ms() <
+                                                 connection->accepted_ms_ +
+                                                     kFirstRequestMs;
+    if (!fresh && !connection->busy_ && !connection->parser_.started() &&
         connection->connection_.unsent_bytes() == 0) {
       connection->Destroy();
     }
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -410,6 +410,29 @@
   close(fd);
 }
 
+// Guards against a request that had just been accepted and is cut off: its
+// bytes arrive a moment after the last look for idle connections.
+TEST_F(GatewayCallTest, EntryEnds_ConnectionJustAcceptedIsServed) {
+  constexpr auto kBeforeTheEnd = std::chrono::milliseconds(2'450);
+  constexpr auto kAfterTheEnd = std::chrono::milliseconds(200);
+  ServeTool([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok")}};
+  });
+  ConfigureAll();
+  std::atomic<bool> drained{false};
+  entry_loop_.Post([&] { gateway_->Drain([&drained] { drained = true; }); });
+  std::this_thread::sleep_for(kBeforeTheEnd);
+  const int fd = Connect();
+  std::this_thread::sleep_for(kAfterTheEnd);
+  EXPECT_FALSE(drained.load());
+  const std::string request =
+      "GET /read/1 HTTP/1.1\r\nHost: h\r\nPersimmonring-Request-Id: r\r\n\r\n";
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  EXPECT_EQ(ReadAnswer(fd).status(), 200);
+  close(fd);
+  WaitFor([&drained] { return drained.load(); });
+}
+
 class GatewayShortGraceTest : public GatewayTest {
  protected:
   // Less than the two seconds that a request of the route may take.
