--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -133,7 +133,7 @@
   int64_t max_output_tokens = 0;
   std::string previous_turn;  ///< Turn that this one continues; empty: none.
   std::vector<PromptPart> prompt;
-  std::string affinity;  ///< Object that the request concerns.
+  std::string affinity;               ///< Object that the request concerns.
   std::optional<int64_t> last_event;  ///< Resumes a stream after this event.
   std::string malformed;  ///< Header whose value cannot be used; empty: none.
 
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -39,8 +39,8 @@
 /// An upstream that could run a turn.
 struct UpstreamOffer {
   uint32_t upstream = 0;  ///< UpstreamKey of the instance.
-  int64_t cost_us = 0;    ///< Expected wait for the first event, apart from load.
-  int32_t slots = 1;      ///< Requests that it runs at once.
+  int64_t cost_us = 0;  ///< Expected wait for the first event, apart from load.
+  int32_t slots = 1;    ///< Requests that it runs at once.
 
   auto operator<=>(const UpstreamOffer&) const = default;
 };
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -234,8 +234,7 @@
     return RetryOrRefuse({Reason::kUpstreamRefused, RunState::kNotRun,
                           "no connection can be opened", kRetryAfterMs});
   }
-  const std::string& body =
-      route_->keeps_turns ? turn_->body : request_.body;
+  const std::string& body = route_->keeps_turns ? turn_->body : request_.body;
   UpstreamSend send{upstream.instance, left_ms(), body.size()};
   if (route_->resumable) {
     send.last_event = forwarding_ ? events_->last_event() : info_.last_event;
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -276,8 +276,7 @@
   std::vector<SuspectedRequest> requests;
   if (list->requests() != nullptr) {
     for (const fb::SuspectedRequest* row : *list->requests()) {
-      requests.push_back(
-          {row->digest(), static_cast<int32_t>(row->crashes())});
+      requests.push_back({row->digest(), static_cast<int32_t>(row->crashes())});
       Event(LogLevel::kInfo, "request_suspected")
           .Add("digest", row->digest())
           .Add("crashes", uint64_t{row->crashes()});
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -12,7 +12,8 @@
 // deployment sheets (61.2), rounded.
 constexpr int64_t kPrefillTokensPerMs = 60;
 // Requests of a batch that wait while a prompt is read, half of the usual slots
-// (6 to 16): a turn that leaves the engine that holds its chain delays them too.
+// (6 to 16): a turn that leaves the engine that holds its chain delays them
+// too.
 constexpr int64_t kDelayedByPrefill = 4;
 constexpr int64_t kUsPerMs = 1'000;
 // Round trips between domains of a region (0.5 to 1.4 ms one way) and between
--- a/src/gateway_suspects.cc
+++ b/src/gateway_suspects.cc
@@ -31,9 +31,7 @@
   std::set<uint64_t>& digests() { return digests_; }
 
  private:
-  void End(bool crashed) {
-    watch_.EndProbe(upstream_.instance, crashed);
-  }
+  void End(bool crashed) { watch_.EndProbe(upstream_.instance, crashed); }
 
   CrashWatch& watch_;
   const UpstreamInstance upstream_;
--- a/src/net_http_server.cc
+++ b/src/net_http_server.cc
@@ -320,9 +320,9 @@
 
 void HttpServer::CloseIdle() {
   for (const auto& [key, connection] : connections_) {
-    const bool fresh = !connection->used_ && loop_.now_ms() <
-                                                 connection->accepted_ms_ +
-                                                     kFirstRequestMs;
+    const bool fresh =
+        !connection->used_ &&
+        loop_.now_ms() < connection->accepted_ms_ + kFirstRequestMs;
     if (!fresh && !connection->busy_ && !connection->parser_.started() &&
         connection->connection_.unsent_bytes() == 0) {
       connection->Destroy();
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -350,9 +350,8 @@
   }
   retired_.insert(head.retired.begin(), head.retired.end());
   for (const auto& row : head.suspects) {
-    suspects_.Load(row->digest,
-                   {{row->upstreams.begin(), row->upstreams.end()},
-                    row->reported_ms});
+    suspects_.Load(row->digest, {{row->upstreams.begin(), row->upstreams.end()},
+                                 row->reported_ms});
   }
 }
 
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -304,8 +304,7 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
   }
   EXPECT_EQ(crashes.load(), kCrashesToQuarantine);
-  const CallerAnswer refused =
-      Post("/order/killer", "Request-Id: again", "x");
+  const CallerAnswer refused = Post("/order/killer", "Request-Id: again", "x");
   EXPECT_EQ(refused.status(), 503);
   EXPECT_NE(refused.text.find("quarantined"), std::string::npos);
   EXPECT_EQ(Post("/order/other", "Request-Id: o", "x").status(), 200);
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -324,23 +324,25 @@
 class GatewayCallTest : public GatewayTest {
  protected:
   void ServeTool(fakes::ScriptedUpstream::Script script) {
-    upstreams_.push_back(std::make_unique<fakes::ScriptedUpstream>(std::move(script)));
+    upstreams_.push_back(
+        std::make_unique<fakes::ScriptedUpstream>(std::move(script)));
     Announce("i-" + std::to_string(upstreams_.size()), "tool",
              upstreams_.back()->endpoint());
   }
   void ServeEngine(fakes::ScriptedUpstream::Script script) {
-    upstreams_.push_back(std::make_unique<fakes::ScriptedUpstream>(std::move(script)));
+    upstreams_.push_back(
+        std::make_unique<fakes::ScriptedUpstream>(std::move(script)));
     Announce("i-" + std::to_string(upstreams_.size()), "engine",
              upstreams_.back()->endpoint());
   }
   void ConfigureAll() {
-    Configure(1, RouteOf("read", "safe", "tool") + "," +
-                     RouteOf("order", "unsafe", "tool") + "," +
-                     RouteOf("turn", "stream", "engine",
-                             R"(,"retainContext":true,"retentionS":60)") +
-                     "," + RouteOf("talk", "stream", "engine") + "," +
-                     RouteOf("review", "stream", "engine",
-                             R"(,"resumable":true)"));
+    Configure(
+        1, RouteOf("read", "safe", "tool") + "," +
+               RouteOf("order", "unsafe", "tool") + "," +
+               RouteOf("turn", "stream", "engine",
+                       R"(,"retainContext":true,"retentionS":60)") +
+               "," + RouteOf("talk", "stream", "engine") + "," +
+               RouteOf("review", "stream", "engine", R"(,"resumable":true)"));
   }
   size_t Requests() const {
     size_t count = 0;
@@ -350,7 +352,7 @@
     return count;
   }
   static fakes::ScriptedReply Events(const std::string& request,
-                              const std::vector<std::string>& data) {
+                                     const std::vector<std::string>& data) {
     fakes::ScriptedReply reply{{StreamHead(request)}};
     int64_t id = 0;
     for (const std::string& one : data) {
--- a/tests/gateway_placement_test.cc
+++ b/tests/gateway_placement_test.cc
@@ -91,8 +91,8 @@
   input_.candidates[1].cached_tokens = input_.prompt_tokens;
   const auto offers = OfferPlacements(input_);
   EXPECT_LE(offers.size(), 40u);
-  EXPECT_TRUE(std::any_of(
-      offers.begin(), offers.end(), [](const UpstreamOffer& offer) {
+  EXPECT_TRUE(
+      std::any_of(offers.begin(), offers.end(), [](const UpstreamOffer& offer) {
         return offer.upstream == UpstreamKey("far0");
       }));
 }
