Send turns where their prompt is cached on every route; never repeat what was passed on

Sub-agents were not sent to the engine that holds their parent's prompt.

Change: AffinityCache, sessions and parts of prompts to the engine that ran them last, bounded; BreakOff for what has begun and may not be resumed.

--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -157,6 +157,7 @@
   ChooseService();
   if (is_stream()) {
     RestartEvents();
+    cached_ = gateway_.affinity().Find(info_);
   }
   if (is_stream() && (route_->keeps_turns || info_.budget_tokens)) {
     BeginTurn();
@@ -316,6 +317,9 @@
     ++runs_;
     gateway_.NoteBroken(upstream_, digest());
   }
+  if (forwarding_ && !route_->resumable) {
+    return BreakOff({reason, RunState::kRan, "the upstream broke off"});
+  }
   RetryOrRefuse(
       {reason,
        never_left && !maybe_run_ ? RunState::kNotRun : RunState::kUnknown,
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -160,7 +160,9 @@
 }
 
 void GatewayCall::OnResponseEnd() {
-  if (answer_.not_run || answer_.other_instance) {
+  // A large answer has been passed on as it came and stays the answer.
+  const bool passed_on = forwarding_ && !is_stream();
+  if (!passed_on && (answer_.not_run || answer_.other_instance)) {
     ReleaseConnection(true);
     gateway_.NoteFailure(upstream_, answer_.other_instance
                                         ? Reason::kUpstreamLeaving
@@ -184,7 +186,8 @@
       gateway_.suspects().crashes(digest()) > 0) {
     gateway_.ClearSuspect(digest());
   }
-  if (status_ >= kServerError && may_repeat() && can_send_again()) {
+  if (!passed_on && status_ >= kServerError && may_repeat() &&
+      can_send_again()) {
     metrics::CountRetry(Reason::kUpstreamError);
     return SendAgain();
   }
@@ -192,6 +195,9 @@
     return BreakOff({Reason::kUpstreamError, RunState::kRan,
                      "the stream cannot be resumed"});
   }
+  if (streaming_) {
+    gateway_.affinity().Note(info_, upstream_.instance);
+  }
   response_done_ = true;
   if (streaming_ && !forwarding_) {
     StartForwarding();
--- a/src/gateway_call_turn.cc
+++ b/src/gateway_call_turn.cc
@@ -25,7 +25,10 @@
     turn_->chain = gateway_.chains().Find(info_.previous_turn);
     begin.previous = info_.previous_turn;
     begin.known = turn_->chain ? info_.previous_turn : "";
-    last_upstream_ = gateway_.chains().UpstreamOf(info_.previous_turn);
+    if (turn_->chain) {
+      cached_ = {gateway_.chains().UpstreamOf(info_.previous_turn),
+                 info_.prompt_tokens};
+    }
   }
   begin.budget_tokens = info_.budget_tokens.value_or(-1);
   begin.max_tokens = info_.max_output_tokens;
@@ -64,7 +67,9 @@
       return Refuse(
           {Reason::kBadRequest, RunState::kNotRun, "the turn cannot be begun"});
   }
-  last_upstream_ = outcome->last_upstream;
+  if (!outcome->last_upstream.empty()) {
+    cached_ = {outcome->last_upstream, info_.prompt_tokens};
+  }
   placed_ = outcome->placed;
   placed_load_ = outcome->placed_load;
   if (!route_->keeps_turns) {
@@ -80,7 +85,7 @@
       }
       chain->append(*text);
     }
-    gateway_.chains().Put(info_.previous_turn, chain, last_upstream_);
+    gateway_.chains().Put(info_.previous_turn, chain, cached_.instance);
     turn_->chain = std::move(chain);
   }
   if (turn_->chain) {
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -13,6 +13,9 @@
 // A started entry that knows little expects to learn more for this time.
 constexpr int64_t kStartMs = 6'000;
 constexpr int64_t kDrainCheckMs = 50;
+// Sessions and parts of prompts, about 100 bytes each: the turns of the last
+// minutes at the 11 requests a second that an entry is designed for.
+constexpr size_t kAffinityEntries = 4'000;
 // A crash of an upstream is reported within this time or not at all.
 constexpr int64_t kReportMs = 5'000;
 // Left for the process to end before it is killed.
@@ -68,6 +71,7 @@
       loop_(loop),
       pool_(loop),
       chains_(init.chain_cache_bytes),
+      affinity_(kAffinityEntries),
       crash_watch_(loop, [this](const auto& upstream, const auto& digests) {
         ReportCrash(upstream, digests);
       }) {}
@@ -370,8 +374,8 @@
     candidate.slots = upstream->slots;
     const auto load = in_flight_.find(upstream->instance);
     candidate.in_flight = load == in_flight_.end() ? 0 : load->second;
-    if (upstream->instance == call.last_upstream()) {
-      candidate.cached_tokens = call.info().prompt_tokens;
+    if (upstream->instance == call.cached().instance) {
+      candidate.cached_tokens = call.cached().tokens;
     }
     candidate.tried = call.tried().contains(upstream->instance);
     candidate.suspected =
@@ -420,7 +424,7 @@
   }
   // The state group knows where the previous turn ran if this entry does not.
   begin.cached_cost =
-      call.last_upstream().empty() ? units(CachedSavingUs(input)) : 0;
+      call.cached().instance.empty() ? units(CachedSavingUs(input)) : 0;
 }
 
 // --------------------------------------------------------------------- ending
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "gateway_affinity_p.h"
 #include "gateway_chains_p.h"
 #include "gateway_events_p.h"
 #include "gateway_health_p.h"
@@ -89,6 +90,7 @@
   StateClient& state() { return *state_; }
   ConnectionPool& pool() { return pool_; }
   ChainCache& chains() { return chains_; }
+  AffinityCache& affinity() { return affinity_; }
   std::shared_ptr<const RouteTable> table() const { return table_; }
   std::string RegionOf(const std::string& domain) const;
 
@@ -118,6 +120,7 @@
   std::unique_ptr<StateClient> state_;
   ConnectionPool pool_;
   ChainCache chains_;
+  AffinityCache affinity_;
   std::shared_ptr<const RouteTable> table_;
   std::map<SessionHandle, uint64_t> announced_;  ///< Versions by keeper.
   bool fetching_ = false;
@@ -156,7 +159,7 @@
 
   const CallerRequest& info() const { return info_; }
   const std::set<std::string>& tried() const { return tried_; }
-  const std::string& last_upstream() const { return last_upstream_; }
+  const CachedPrompt& cached() const { return cached_; }
   uint64_t random() const { return random_; }
   /// UpstreamKey of the place that the load board chose; 0: none.
   uint32_t placed() const { return placed_; }
@@ -239,7 +242,7 @@
   ScopedTimer slow_timer_;
 
   std::unique_ptr<Turn> turn_;  ///< If the state group records the request.
-  std::string last_upstream_;   ///< Ran the previous turn.
+  CachedPrompt cached_;
   uint32_t placed_ = 0;
   int32_t placed_load_ = 0;
 
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -187,6 +187,30 @@
   WaitFor([this] { return upstreams_[0]->abandoned(); });
 }
 
+// Guards against an answer that was passed on in part and is then sent again
+// from its start: idempotent requests are repeated only while nothing has left.
+TEST_F(GatewayCallTest, LargeAnswer_IsNotRepeatedOnceItHasBegun) {
+  const std::string half(400u << 10, 'x');
+  const auto script = [&half](const std::string& request) {
+    std::string whole = Whole(500, request, half + half);
+    if (request.find("broken") != std::string::npos) {
+      whole.resize(whole.size() - half.size());
+      return ScriptedReply{{whole}, Then::kReset};
+    }
+    return ScriptedReply{{whole}};
+  };
+  ServeTool(script);
+  ServeTool(script);
+  ConfigureAll();
+  const CallerAnswer broken = Get("/read/1", "Request-Id: broken");
+  EXPECT_FALSE(IsWhole(broken.text));
+  EXPECT_EQ(Requests(), 1u);
+  const CallerAnswer whole = Get("/read/1", "Request-Id: whole");
+  EXPECT_EQ(whole.status(), 500);
+  EXPECT_TRUE(IsWhole(whole.text));
+  EXPECT_EQ(Requests(), 2u);
+}
+
 // Guards against an answer to an earlier request that is passed on because it
 // names none.
 TEST_F(GatewayCallTest, AnswerWithoutIdOnUsedConnection_IsNotPassedOn) {
--- a/tests/gateway_tables_test.cc
+++ b/tests/gateway_tables_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "gateway_affinity_p.h"
 #include "gateway_chains_p.h"
 #include "gateway_events_p.h"
 #include "persimmonring/gateway.h"
@@ -180,5 +181,41 @@
   EXPECT_LE(cache.bytes(), 10u);
 }
 
+CallerRequest RequestOf(const std::string& session,
+                        const std::vector<PromptPart>& prompt) {
+  CallerRequest request;
+  request.session = session;
+  request.prompt = prompt;
+  for (const PromptPart& part : prompt) {
+    request.prompt_tokens += part.tokens;
+  }
+  return request;
+}
+
+// Guards against prompts that are read again: of the next turn of a session,
+// and of sub-agents, which begin with the prompt of their parent.
+TEST(AffinityCache, SessionAndParent_AreFoundWhereTheyRan) {
+  AffinityCache cache(100);
+  cache.Note(RequestOf("parent", {{"shared", 500}, {"parent", 900}}), "i-1");
+  EXPECT_EQ(cache.Find(RequestOf("parent", {{"shared", 500}, {"p", 1'000}})),
+            (CachedPrompt{"i-1", 1'500}));
+  EXPECT_EQ(cache.Find(RequestOf(
+                "child", {{"shared", 500}, {"parent", 900}, {"child", 100}})),
+            (CachedPrompt{"i-1", 1'400}));
+  // What all programs share says nothing.
+  EXPECT_EQ(cache.Find(RequestOf("other", {{"shared", 500}, {"other", 10}})),
+            CachedPrompt());
+}
+
+// Guards against memory that grows with the number of sessions.
+TEST(AffinityCache, ManySessions_OldOnesAreForgotten) {
+  AffinityCache cache(10);
+  for (int i = 0; i < 100; ++i) {
+    cache.Note(RequestOf(std::to_string(i), {}), "i-1");
+  }
+  EXPECT_EQ(cache.Find(RequestOf("0", {})), CachedPrompt());
+  EXPECT_EQ(cache.Find(RequestOf("99", {})).instance, "i-1");
+}
+
 }  // namespace
 }  // namespace ring
