Answer retire orders only at keepers that know the members

The VM under a retire order was taken away at 9.1 s while its keeper voted, beside a frozen and a wiped keeper: no majority from 9.2 s to 15.8 s. A keeper without a replica (added at 1.5 s) knew no members and called the order completed; asked for the order itself it answered "too few" (409), which ends the operator's call.

Change: without members, or without having applied the order, the answer is "not sure" (503), also for a VM that may belong to a member not heard of.

--- a/include/persimmonring/registrar.h
+++ b/include/persimmonring/registrar.h
@@ -62,9 +62,10 @@
   /// @returns the newest configuration, confirmed by a majority
   void ReadConfiguration(const DocumentAnswer& answer);
   /// @returns not_allowed if too few keepers would be left, unknown_path for
-  ///          an unknown VM
+  ///          an unknown VM, no_quorum if this keeper does not know the members
   void Retire(const std::string& vm, const Answer& answer);
-  /// @returns the state as a majority knows it
+  /// @returns the state as a majority knows it; no_quorum if this keeper has
+  ///          not applied the order itself
   void ReadRetire(const std::string& vm, const RetireAnswer& answer);
   /// Further keepers, after the settings have changed.
   void AddKeepers(const std::vector<Endpoint>& keepers);
@@ -94,6 +95,8 @@
 
  private:
   class Impl;
+  Outcome<RetireState> StateOf(const std::string& ordered) const;
+
   std::unique_ptr<Impl> impl_;
 };
 
--- a/src/registrar_p.h
+++ b/src/registrar_p.h
@@ -65,6 +65,8 @@
   EventLoop& loop() { return loop_; }
   KeeperHost* host() { return host_; }
   const LogConfig& members() const { return members_; }
+  /// @returns true if the VM of each member is known
+  bool knows_vms() const;
   bool IsMember(const std::string& address) const {
     return std::any_of(members_.members.begin(), members_.members.end(),
                        [&](const Member& row) {
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -14,6 +14,11 @@
 // this time, in case a message was lost with its session.
 constexpr int64_t kRepeatMs = 2'000;
 
+Refusal MembersUnknown() {
+  return {Reason::kNoQuorum, RunState::kNotRun,
+          "this keeper does not know the members of the ring"};
+}
+
 }  // namespace
 
 void Registrar::Impl::Start(KeeperHost& host, HubI& hub) {
@@ -96,6 +101,10 @@
 
 void Registrar::Retire(const std::string& vm, const Answer& answer) {
   const std::string ordered = impl_->FindVm(vm);
+  if (impl_->members().members.empty() ||
+      (ordered.empty() && !impl_->knows_vms())) {
+    return answer(MembersUnknown());
+  }
   std::set<std::string> leaving = retired();
   const bool repeated = leaving.contains(AddressOfKeeper(ordered));
   if (ordered.empty()) {
@@ -123,6 +132,19 @@
                          });
 }
 
+// The VM is taken away once the order reads as completed. A keeper that has not
+// applied the order itself may not know yet that the VM is a member.
+Outcome<RetireState> Registrar::StateOf(const std::string& ordered) const {
+  const std::string address = AddressOfKeeper(ordered);
+  if (impl_->IsMember(address)) {
+    return RetireState::kRunning;
+  }
+  if (impl_->members().members.empty() || !retired().contains(address)) {
+    return MembersUnknown();
+  }
+  return RetireState::kCompleted;
+}
+
 void Registrar::ReadRetire(const std::string& vm, const RetireAnswer& answer) {
   impl_->state().Query(
       state_codec::EncodeQuery(false), impl_->init().order_timeout_ms,
@@ -132,9 +154,7 @@
         }
         for (const std::string& ordered : outcome->retired) {
           if (ordered.starts_with(vm + "@")) {
-            return answer(impl_->IsMember(AddressOfKeeper(ordered))
-                              ? RetireState::kRunning
-                              : RetireState::kCompleted);
+            return answer(StateOf(ordered));
           }
         }
         answer(RetireState::kUnknown);
--- a/src/registrar_sessions.cc
+++ b/src/registrar_sessions.cc
@@ -200,6 +200,18 @@
   }
 }
 
+bool Registrar::Impl::knows_vms() const {
+  return std::all_of(members_.members.begin(), members_.members.end(),
+                     [this](const Member& member) {
+                       const std::string address = AddressOfKeeper(member.node);
+                       return address == AddressOfKeeper(init_.node) ||
+                              std::any_of(vms_.begin(), vms_.end(),
+                                          [&address](const auto& item) {
+                                            return item.second == address;
+                                          });
+                     });
+}
+
 std::string Registrar::Impl::FindVm(const std::string& vm) const {
   if (vm == init_.vm) {
     return vm + "@" + AddressOfKeeper(init_.node);
