--- a/tests/gateway_stream_test.cc
+++ b/tests/gateway_stream_test.cc
@@ -76,35 +76,38 @@
     }
   }
 
+  /// Sends three turns of a program; each generates 16 of the 24 tokens that it
+  /// may, and the budget is 40.
+  void ExpectThirdTurnIsOverBudget(const std::vector<std::string>& targets) {
+    ServeEngine([](const std::string& request) {
+      return Events(request, {"one", "two"});
+    });
+    ConfigureAll();
+    std::vector<int> statuses;
+    for (const std::string& target : targets) {
+      const std::string turn = "t" + std::to_string(statuses.size());
+      statuses.push_back(Post(target,
+                              "Program-Id: p, Token-Budget: 40, "
+                              "Token-Usage: 10,24, Request-Id: " +
+                                  turn,
+                              "in")
+                             .status());
+    }
+    EXPECT_EQ(statuses, (std::vector<int>{200, 200, 402}));
+    EXPECT_EQ(Requests(), 2u);
+  }
+
   std::atomic<int> asked_{0};
 };
 
 // Guards against programs that spend without a limit where turns are not kept.
 TEST_F(GatewayStreamTest, BudgetOnRouteWithoutKeptTurns_IsHeld) {
-  ServeEngine([](const std::string& request) {
-    return Events(request, {"one", "two"});
-  });
-  ConfigureAll();
-  const std::string program =
-      "Program-Id: p, Token-Budget: 40, Token-Usage: 10,24, Request-Id: ";
-  EXPECT_EQ(Post("/talk/1", program + "t1", "in").status(), 200);
-  EXPECT_EQ(Post("/review/1", program + "t2", "in").status(), 200);
-  EXPECT_EQ(Post("/talk/1", program + "t3", "in").status(), 402);
-  EXPECT_EQ(Requests(), 2u);
+  ExpectThirdTurnIsOverBudget({"/talk/1", "/review/1", "/talk/1"});
 }
 
 // Guards against a budget for each kind of route.
 TEST_F(GatewayStreamTest, ProgramOnBothKindsOfRoutes_HasOneBudget) {
-  ServeEngine([](const std::string& request) {
-    return Events(request, {"one", "two"});
-  });
-  ConfigureAll();
-  const std::string program =
-      "Program-Id: p, Token-Budget: 40, Token-Usage: 10,24, Request-Id: ";
-  EXPECT_EQ(Post("/turn/1", program + "t1", "in").status(), 200);
-  EXPECT_EQ(Post("/talk/1", program + "t2", "in").status(), 200);
-  EXPECT_EQ(Post("/turn/1", program + "t3", "in").status(), 402);
-  EXPECT_EQ(Requests(), 2u);
+  ExpectThirdTurnIsOverBudget({"/turn/1", "/talk/1", "/turn/1"});
 }
 
 // Guards against numbers that are read as no budget, and against a malformed
