Ignore kept turns and budgets where a route has no streams

Cause: found on reading the diff: since budgets are begun for streams only, a configuration that keeps turns on another kind of route would have read a body that is not there; a malformed budget was refused on routes where it means nothing. Ruled out: nothing. Change: both depend on the kind.

--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -140,7 +140,7 @@
                    "this entry stops before the request's time is over",
                    kDrainRetryAfterMs});
   }
-  if (!info_.malformed.empty()) {
+  if (!info_.malformed.empty() && is_stream()) {
     return Refuse({Reason::kBadRequest, RunState::kNotRun,
                    "the value of " + info_.malformed + " cannot be used"});
   }
@@ -235,7 +235,8 @@
     return RetryOrRefuse({Reason::kUpstreamRefused, RunState::kNotRun,
                           "no connection can be opened", kRetryAfterMs});
   }
-  const std::string& body = route_->keeps_turns ? turn_->body : request_.body;
+  const std::string& body =
+      turn_ && route_->keeps_turns ? turn_->body : request_.body;
   UpstreamSend send{upstream.instance, left_ms(), body.size()};
   if (route_->resumable) {
     send.last_event = forwarding_ ? events_->last_event() : info_.last_event;
--- a/tests/gateway_stream_test.cc
+++ b/tests/gateway_stream_test.cc
@@ -294,5 +294,18 @@
   EXPECT_LT(SystemClock().NowMs() - start_ms, 2'500);
 }
 
+// Guards against a crash by a configuration that keeps turns where there are
+// none, and against refusals for headers that mean nothing there.
+TEST_F(GatewayStreamTest, KeptTurnsOnARouteWithoutStreams_AreIgnored) {
+  ServeTool([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, BodyOf(request))}};
+  });
+  Configure(1, RouteOf("read", "safe", "tool", R"(,"retainContext":true)"));
+  const CallerAnswer answer =
+      Post("/read/1", "Request-Id: r1, Token-Budget: many", "body");
+  EXPECT_EQ(answer.status(), 200);
+  EXPECT_TRUE(answer.text.ends_with("\r\n\r\nbody"));
+}
+
 }  // namespace
 }  // namespace ring
