--- a/src/state_codec.cc
+++ b/src/state_codec.cc
@@ -50,7 +50,7 @@
 std::string EncodeClearSuspect(uint64_t digest) {
   fb::ClearSuspectT clear;
   clear.digest = digest;
-  return EncodeCommand(std::move(clear));
+  return EncodeCommand(clear);
 }
 
 std::string EncodeRetire(const std::string& node) {
