--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -137,6 +137,15 @@
   EXPECT_EQ(Begin("c", "", 250), fb::StateCode::Done);
 }
 
+// Guards against a turn that states no bound and overspends beside others.
+TEST_F(RingStateTest, TurnWithoutABound_ReservesAllThatIsLeft) {
+  EXPECT_EQ(Begin("a", "", 100, 0), fb::StateCode::Done);
+  EXPECT_EQ(Begin("b", "", 100, 1), fb::StateCode::BudgetSpent);
+  Finish("a", "", 60);
+  EXPECT_EQ(Begin("c", "", 100, 40), fb::StateCode::Done);
+  EXPECT_EQ(Begin("d", "", 100, 0), fb::StateCode::BudgetSpent);
+}
+
 // Guards against a budget that is returned when a turn was broken off after it
 // had generated tokens.
 TEST_F(RingStateTest, BrokenOffTurn_SpendsWhatItHandedOut) {
