--- a/fakes/free_port.h
+++ b/fakes/free_port.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 
 #include <arpa/inet.h>
@@ -9,20 +10,32 @@
 
 namespace ring::fakes {
 
+/// Looks below the range that the kernel gives to outgoing connections, and
+/// from another start in each process, so that tests that run at the same time
+/// do not take the port before it is used.
 /// @returns a port of 127.0.0.1 that was free a moment ago, 0 on failure
 inline uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  uint16_t port = 0;
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
-      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0) {
-    port = ntohs(address.sin_port);
+  constexpr uint32_t kFirstPort = 10'000;
+  constexpr uint32_t kPorts = 20'000;
+  constexpr uint32_t kPortsOfAProcess = 61;
+  static std::atomic<uint32_t> next{static_cast<uint32_t>(getpid()) *
+                                    kPortsOfAProcess};
+  for (uint32_t tries = 0; tries < kPorts; ++tries) {
+    const auto port =
+        static_cast<uint16_t>(kFirstPort + next.fetch_add(1) % kPorts);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool is_free =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (is_free) {
+      return port;
+    }
   }
-  close(fd);
-  return port;
+  return 0;
 }
 
 }  // namespace ring::fakes
