--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -257,7 +257,7 @@
                             .region = "region",
                             .listen = wire_},
                            *registrar_);
-    ASSERT_TRUE(hub.ok());
+    ASSERT_TRUE(hub.ok()) << hub.refusal().message;
     keeper_hub_ = std::move(*hub);
     host_->Attach(*keeper_hub_);
     registrar_->Start(*host_, *keeper_hub_);
@@ -284,9 +284,10 @@
                             .domain = "domain",
                             .region = "region"},
                            *gateway_);
-    ASSERT_TRUE(hub.ok());
+    ASSERT_TRUE(hub.ok()) << hub.refusal().message;
     entry_hub_ = std::move(*hub);
-    ASSERT_TRUE(gateway_->Start(*entry_hub_).ok());
+    const Status started = gateway_->Start(*entry_hub_);
+    ASSERT_TRUE(started.ok()) << started.refusal().message;
     entry_threads_ =
         std::make_unique<Supervisor>(Supervisor::Init{.name = "entry"});
     AddLoop(*entry_threads_, *entry_hub_, entry_loop_);
