Log what a lost connection showed, and reports of crashes that are lost

Ruled out: a digest in every line of a request; only those that failed need it.

Change: events upstream_checked, crash_report_lost and suspect_cleared, digests in upstream_crashed and in the line of a failed request, two counters.

--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -435,6 +435,9 @@
       .Add("sent_ms", sent_ms_)
       .Add("head_ms", head_ms_)
       .Add("took_ms", took_ms);
+  if (maybe_run_ && refusal.reason != Reason::kNone) {
+    event.Add("digest", digest());
+  }
   if (!refusal.message.empty()) {
     event.Add("detail", refusal.message);
   }
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -294,15 +294,26 @@
   metrics::Count("ring_upstream_crashes_total");
   Event(LogLevel::kWarn, "upstream_crashed")
       .Add("upstream", upstream.instance)
-      .Add("requests", uint64_t{digests.size()});
+      .Add("requests", uint64_t{digests.size()})
+      .Add("digest", digests.empty() ? 0 : *digests.begin());
   fb::ReportCrashT crash;
   crash.upstream = upstream.instance;
   crash.born_ms = upstream.born_ms;
   crash.digests.assign(digests.begin(), digests.end());
-  state_->Propose(state_codec::EncodeCrash(crash), kReportMs, nullptr);
+  state_->Propose(
+      state_codec::EncodeCrash(crash), kReportMs,
+      [instance = upstream.instance](const Outcome<fb::StateResultT>& outcome) {
+        if (!outcome) {
+          metrics::Count("ring_crash_reports_lost_total");
+          Event(LogLevel::kWarn, "crash_report_lost")
+              .Add("upstream", instance)
+              .Add("detail", outcome.refusal().message);
+        }
+      });
 }
 
 void Gateway::Impl::ClearSuspect(uint64_t digest) {
+  Event(LogLevel::kInfo, "suspect_cleared").Add("digest", digest);
   state_->Propose(state_codec::EncodeClearSuspect(digest), kReportMs, nullptr);
 }
 
--- a/src/gateway_suspects.cc
+++ b/src/gateway_suspects.cc
@@ -20,19 +20,30 @@
     if (connection_) {
       connection_->SetListener(this);
     }
-    timer_.Start(kProbeMs, [this] { End(false); });
+    timer_.Start(kProbeMs, [this] { End("silent"); });
   }
 
-  void OnConnected() override { End(false); }
+  void OnConnected() override { End("accepted"); }
   void OnBytes(std::string_view /*bytes*/) override {}
-  void OnClosed(CloseKind kind) override { End(kind == CloseKind::kRefused); }
+  void OnClosed(CloseKind kind) override {
+    End(kind == CloseKind::kRefused ? kRefused : "closed");
+  }
 
   const UpstreamInstance& upstream() const { return upstream_; }
   std::set<uint64_t>& digests() { return digests_; }
 
  private:
-  void End(bool crashed) { watch_.EndProbe(upstream_.instance, crashed); }
+  void End(const char* verdict) {
+    metrics::Count("ring_upstream_checks_total", {{"verdict", verdict}});
+    Event(LogLevel::kInfo, "upstream_checked")
+        .Add("upstream", upstream_.instance)
+        .Add("verdict", verdict)
+        .Add("requests", uint64_t{digests_.size()})
+        .Add("digest", digests_.empty() ? 0 : *digests_.begin());
+    watch_.EndProbe(upstream_.instance, std::string_view(verdict) == kRefused);
+  }
 
+  static constexpr char kRefused[] = "refused";
   CrashWatch& watch_;
   const UpstreamInstance upstream_;
   std::unique_ptr<TcpConnection> connection_;
