--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,6 +7,15 @@
 tools/check_examples.sh
 tools/check_names.sh
 tools/lint.sh
-ctest --test-dir build --output-on-failure -j "$(( $(nproc) / 2 + 1 ))"
+# Names of the tests that fail because of a known fault.
+known_red="$(sed -n '/^[^#]/s/ *|.*//p' KNOWN-RED.txt)"
+exclude=()
+if [ -n "$known_red" ]; then
+  printf 'known to fail, passed over: %s\n' $known_red
+  exclude=(--exclude-regex "^($(paste -sd '|' <<< "${known_red//./\\.}"))\$")
+fi
+ctest --test-dir build --output-on-failure "${exclude[@]}" -j "$(( $(nproc) / 2 + 1 ))"
 # One short run with a fixed seed; longer ones and fresh seeds are run by hand.
-python3 platform/soak/soak.py --seed 1 --seconds 5
+if ! grep -qx soak <<< "$known_red"; then
+  python3 platform/soak/soak.py --seed 1 --seconds 5
+fi
