Find requests that crash upstreams by crashes, not by request alone

Callers saw: sound requests refused for two minutes because they had run beside one that crashed upstreams; a crash of an upstream that had returned under its id did not count.

Cause: a count by digest and name of the upstream cannot tell a request that causes crashes from its neighbours, nor two crashes of one name; a list without a version lets a keeper that lags take a quarantine back; what was quarantined was forgotten two minutes after its last crash.

Ruled out: keeping the count and raising its threshold, which lets more upstreams crash and still refuses neighbours.

Change: SuspectBoard keeps crashes with the requests under way. Three crashes quarantine a request for an hour, and they count no more against the others. Reports of one crash are joined by its time, so that they may be sent again; the list has a version and holds only requests with two crashes or more, so that a crash alone tells entries nothing.

--- a/include/persimmonring/registrar.h
+++ b/include/persimmonring/registrar.h
@@ -91,7 +91,8 @@
   void OnUpstream(const fb::RegisterUpstreamT& upstream) override;
   void OnDeparture(const UpstreamDeparture& departure) override;
   void OnRetire(const std::set<std::string>& nodes) override;
-  void OnSuspects(const std::vector<SuspectedRequest>& requests) override;
+  void OnSuspects(uint64_t version,
+                  const std::vector<SuspectedRequest>& requests) override;
 
  private:
   class Impl;
--- a/src/registrar_p.h
+++ b/src/registrar_p.h
@@ -57,7 +57,8 @@
   void OnSettled();
   void OnConfiguration(uint64_t version);
   void OnDeparture(const UpstreamDeparture& departure);
-  void OnSuspects(const std::vector<SuspectedRequest>& requests);
+  void OnSuspects(uint64_t version,
+                  const std::vector<SuspectedRequest>& requests);
   void OnRegistered(const fb::RegisterUpstreamT& upstream);
 
   StateClient& state() { return *state_; }
@@ -119,6 +120,7 @@
   std::map<std::string, std::string> vms_;  // VM to the address of its keeper.
   LogConfig members_;
   std::vector<SuspectedRequest> suspects_;
+  uint64_t suspects_version_ = 0;
   uint64_t version_ = 0;
   bool settled_ = false;
 };
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -230,8 +230,10 @@
   impl_->loop().Post([this, departure] { impl_->OnDeparture(departure); });
 }
 
-void Registrar::OnSuspects(const std::vector<SuspectedRequest>& requests) {
-  impl_->loop().Post([this, requests] { impl_->OnSuspects(requests); });
+void Registrar::OnSuspects(uint64_t version,
+                           const std::vector<SuspectedRequest>& requests) {
+  impl_->loop().Post(
+      [this, version, requests] { impl_->OnSuspects(version, requests); });
 }
 
 void Registrar::OnRetire(const std::set<std::string>& nodes) {
--- a/src/registrar_sessions.cc
+++ b/src/registrar_sessions.cc
@@ -76,8 +76,10 @@
 }
 
 void Registrar::Impl::OnSuspects(
+    uint64_t version,
     const std::vector<SuspectedRequest>& requests) {
-  if (requests != suspects_) {
+  if (version != suspects_version_) {
+    suspects_version_ = version;
     suspects_ = requests;
     SendToEntries(SuspectFrame());
   }
@@ -85,6 +87,7 @@
 
 Frame Registrar::Impl::SuspectFrame() const {
   fb::SuspectListT list;
+  list.version = suspects_version_;
   for (const SuspectedRequest& request : suspects_) {
     list.requests.emplace_back(request.digest,
                                static_cast<uint32_t>(request.crashes));
@@ -167,7 +170,7 @@
     departures.push_back({key.first, key.second, gone});
   }
   frames.push_back(UpstreamFrame(rows, departures, true));
-  if (!suspects_.empty()) {
+  if (suspects_version_ > 0) {
     frames.push_back(SuspectFrame());
   }
   frames.push_back(KeeperListFrame());
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -247,39 +247,41 @@
 
 fb::StateResultT RingStateMachine::Impl::ReportCrash(
     const fb::ReportCrash& command) {
-  const uint32_t upstream = UpstreamKey(TextFrom(command.upstream()) + "/" +
-                                        std::to_string(command.born_ms()));
-  bool changed = false;
+  UpstreamCrash crash;
+  crash.upstream = UpstreamKey(TextFrom(command.upstream()) + "/" +
+                               std::to_string(command.born_ms()));
+  crash.at_ms = now_ms_ - std::max(command.age_ms(), 0);
   if (command.digests() != nullptr) {
-    for (const uint64_t digest : *command.digests()) {
-      changed = suspects_.Report(digest, upstream, now_ms_) || changed;
-    }
-  }
-  if (changed) {
-    NotifySuspects();
+    crash.digests.insert(command.digests()->begin(), command.digests()->end());
   }
+  suspects_.Report(crash);
+  NotifySuspects();
   return Result(fb::StateCode::Done);
 }
 
 fb::StateResultT RingStateMachine::Impl::ClearSuspect(
     const fb::ClearSuspect& command) {
-  if (suspects_.Clear(command.digest())) {
-    NotifySuspects();
-  }
+  suspects_.Clear(command.digest());
+  NotifySuspects();
   return Result(fb::StateCode::Done);
 }
 
-void RingStateMachine::Impl::NotifySuspects() const {
+void RingStateMachine::Impl::NotifySuspects() {
+  std::vector<SuspectedRequest> list = suspects_.List();
+  if (list == suspect_list_) {
+    return;
+  }
+  suspect_list_ = std::move(list);
+  ++suspects_version_;
   if (observer_ != nullptr) {
-    observer_->OnSuspects(suspects_.List());
+    observer_->OnSuspects(suspects_version_, suspect_list_);
   }
 }
 
 void RingStateMachine::Impl::Expire() {
   board_.Expire(now_ms_);
-  if (suspects_.Expire(now_ms_)) {
-    NotifySuspects();
-  }
+  suspects_.Expire(now_ms_);
+  NotifySuspects();
   std::erase_if(turns_, [this](const auto& item) {
     return item.second.expires_ms < now_ms_;
   });
@@ -332,7 +334,7 @@
     observer_->OnDeparture(departure.value);
   }
   observer_->OnRetire(retired_);
-  NotifySuspects();
+  observer_->OnSuspects(suspects_version_, suspect_list_);
 }
 
 RingStateMachine::RingStateMachine(const Init& init, StateObserverI* observer)
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -59,7 +59,8 @@
   fb::StateResultT Retire(const fb::OrderRetire& command);
   fb::StateResultT ReportCrash(const fb::ReportCrash& command);
   fb::StateResultT ClearSuspect(const fb::ClearSuspect& command);
-  void NotifySuspects() const;
+  /// Tells of the list of suspected requests if it has changed.
+  void NotifySuspects();
   void Expire();
   /// Chooses among the offers of a turn that has begun.
   void PlaceTurn(const fb::BeginTurn& command, fb::StateResultT& result);
@@ -78,6 +79,7 @@
                                         const Program& program);
   static fb::KeptTurnT SaveTurn(const TurnSlot& slot);
   void LoadHead(fb::RingStateSnapshotT head);
+  void LoadSuspects(const fb::SuspectBoardRecordT& record);
 
   const Init init_;
   StateObserverI* const observer_;
@@ -91,6 +93,8 @@
   std::map<std::string_view, TurnSlot> turns_;  ///< By the id in the slot.
   std::set<std::string> retired_;
   SuspectBoard suspects_;
+  std::vector<SuspectedRequest> suspect_list_;  ///< As it was told last.
+  uint64_t suspects_version_ = 0;
   LoadBoard board_;  ///< Not part of snapshots.
 };
 
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -131,12 +131,20 @@
         std::make_unique<fb::RegisterUpstreamT>(registration.value));
   }
   head.retired.assign(retired_.begin(), retired_.end());
-  for (const auto& [digest, record] : suspects_.records()) {
-    auto row = std::make_unique<fb::SuspectRecordT>();
+  head.suspects = std::make_unique<fb::SuspectBoardRecordT>();
+  head.suspects->version = suspects_version_;
+  for (const UpstreamCrash& crash : suspects_.recent()) {
+    auto row = std::make_unique<fb::CrashRecordT>();
+    row->upstream = crash.upstream;
+    row->at_ms = crash.at_ms;
+    row->digests.assign(crash.digests.begin(), crash.digests.end());
+    head.suspects->crashes.push_back(std::move(row));
+  }
+  for (const auto& [digest, since_ms] : suspects_.quarantined()) {
+    auto row = std::make_unique<fb::QuarantineRecordT>();
     row->digest = digest;
-    row->upstreams.assign(record.upstreams.begin(), record.upstreams.end());
-    row->reported_ms = record.reported_ms;
-    head.suspects.push_back(std::move(row));
+    row->since_ms = since_ms;
+    head.suspects->quarantined.push_back(std::move(row));
   }
   return head;
 }
@@ -349,10 +357,26 @@
     registrations_[row->instance] = {*row, 0};
   }
   retired_.insert(head.retired.begin(), head.retired.end());
-  for (const auto& row : head.suspects) {
-    suspects_.Load(row->digest, {{row->upstreams.begin(), row->upstreams.end()},
-                                 row->reported_ms});
+  if (head.suspects) {
+    LoadSuspects(*head.suspects);
+  }
+}
+
+void RingStateMachine::Impl::LoadSuspects(
+    const fb::SuspectBoardRecordT& record) {
+  std::vector<UpstreamCrash> recent;
+  for (const auto& row : record.crashes) {
+    recent.push_back({row->upstream,
+                      row->at_ms,
+                      {row->digests.begin(), row->digests.end()}});
+  }
+  std::map<uint64_t, int64_t> quarantined;
+  for (const auto& row : record.quarantined) {
+    quarantined[row->digest] = row->since_ms;
   }
+  suspects_.Load(std::move(recent), std::move(quarantined));
+  suspect_list_ = suspects_.List();
+  suspects_version_ = record.version;
 }
 
 }  // namespace ring
--- /dev/null
+++ b/tests/state_suspects_test.cc
@@ -0,0 +1,96 @@
+#include <gtest/gtest.h>
+
+#include "persimmonring/state.h"
+
+namespace ring {
+namespace {
+
+constexpr uint64_t kKiller = 7;
+
+/// Crashes of upstreams 1, 2 and so on, some seconds apart.
+class SuspectBoardTest : public testing::Test {
+ protected:
+  void Crash(const std::set<uint64_t>& digests) {
+    now_ms_ += 5'000;
+    board_.Report({++upstream_, now_ms_, digests});
+  }
+
+  SuspectBoard board_;
+  uint32_t upstream_ = 0;
+  int64_t now_ms_ = 0;
+};
+
+// Guards against an upstream that returns under its name and is counted once.
+TEST_F(SuspectBoardTest, SameUpstreamCrashingAgain_CountsEachTime) {
+  for (int i = 0; i < kCrashesToQuarantine; ++i) {
+    board_.Report({1, i * 3'000, {kKiller}});
+  }
+  EXPECT_EQ(board_.crashes(kKiller), kCrashesToQuarantine);
+}
+
+// Guards against one crash that several entries report.
+TEST_F(SuspectBoardTest, ReportsOfOneCrash_CountOnce) {
+  for (int64_t at_ms : {1'000, 1'200, 600, 1'900}) {
+    board_.Report({1, at_ms, {kKiller}});
+  }
+  EXPECT_EQ(board_.crashes(kKiller), 1);
+}
+
+// Guards against sound requests that are refused because they ran beside the
+// one that crashes upstreams.
+TEST_F(SuspectBoardTest, NeighboursOfTheKiller_AreRelievedOnceItIsKnown) {
+  Crash({kKiller, 1, 2});
+  Crash({kKiller, 2, 3});
+  EXPECT_EQ(board_.crashes(2), 2);
+  Crash({kKiller, 4});
+  EXPECT_EQ(board_.List(),
+            (std::vector<SuspectedRequest>{{kKiller, kCrashesToQuarantine}}));
+  // Another entry reports its requests of the last crash later.
+  board_.Report({upstream_, now_ms_ + 300, {2, 5}});
+  EXPECT_EQ(board_.crashes(2), 0);
+  EXPECT_EQ(board_.crashes(5), 0);
+}
+
+TEST_F(SuspectBoardTest, SuccessOfARequest_ClearsIt) {
+  Crash({kKiller});
+  Crash({kKiller});
+  EXPECT_TRUE(board_.Clear(kKiller));
+  Crash({kKiller});
+  EXPECT_EQ(board_.crashes(kKiller), 1);
+  EXPECT_FALSE(board_.Clear(99));
+}
+
+// Guards against memory that grows with every crash, and against a known
+// request that is forgotten because others crash later.
+TEST_F(SuspectBoardTest, ManyCrashes_AreBoundedAndKeepWhatIsQuarantined) {
+  for (int i = 0; i < kCrashesToQuarantine; ++i) {
+    Crash({kKiller});
+  }
+  constexpr uint64_t kCrashes = 5'000;
+  for (uint64_t i = 0; i < kCrashes; ++i) {
+    Crash({100 + i, 100 + i + kCrashes});
+  }
+  EXPECT_LE(board_.recent().size(), 1'000u);
+  EXPECT_EQ(board_.crashes(100 + kCrashes - 1), 1);
+  EXPECT_EQ(board_.crashes(kKiller), kCrashesToQuarantine);
+}
+
+// Guards against suspicions that last for ever, and against a known request
+// that crashes upstreams again a few minutes later.
+TEST_F(SuspectBoardTest, CrashesOfLongAgo_AreForgottenLaterIfQuarantined) {
+  constexpr int64_t kMinuteMs = 60'000;
+  for (int i = 0; i < kCrashesToQuarantine; ++i) {
+    Crash({kKiller});
+  }
+  Crash({1});
+  board_.Expire(now_ms_ + 5 * kMinuteMs);
+  EXPECT_EQ(board_.crashes(1), 1);
+  board_.Expire(now_ms_ + 15 * kMinuteMs);
+  EXPECT_EQ(board_.crashes(1), 0);
+  EXPECT_EQ(board_.crashes(kKiller), kCrashesToQuarantine);
+  board_.Expire(now_ms_ + 120 * kMinuteMs);
+  EXPECT_TRUE(board_.empty());
+}
+
+}  // namespace
+}  // namespace ring
