Hold at the entry what it saw crash; find crashes that break no connection

Callers saw: a request under which three upstreams had ended was sent on; the upstreams that served others ended one after the other.

Cause: a belief that a rule needs at every entry lived only in the log, and it was reached only on one narrow way: a connection refused within 300 ms of a break. Hosts that fall silent, upstreams that are back at once or stand behind a relay, callers that leave first, keepers that do not answer for a second, an error of a failing upstream and a keeper that lags each led past it.

Ruled out: counting each break (cut links and failing upstreams break sound requests too); asking keepers before each send, which stops an entry that is out of reach.

Change: the entry keeps a board of its own beside the list of the keepers and refuses by the higher count, also before repeats and after a turn has begun. A report is sent again until a keeper confirms it. Only a success clears, and it is remembered for 10 s, so that popular requests are not refused. A lost connection is followed by a health check; an upstream that says nothing to anyone for 500 ms after an unanswered request is checked too, and one that is replaced without having left counts as crashed. The stand-in for upstreams answers health checks by itself and counts them apart.

--- a/fakes/scripted_upstream.h
+++ b/fakes/scripted_upstream.h
@@ -27,7 +27,7 @@
 };
 
 /// Upstream on loopback whose replies a test scripts, and which remembers the
-/// requests that reached it.
+/// requests that reached it. It answers health checks by itself.
 class ScriptedUpstream {
  public:
   using Script = std::function<ScriptedReply(const std::string& request)>;
@@ -76,6 +76,8 @@
     if (silent_.exchange(true)) {
       return;
     }
+    // The accepting thread takes at most one more.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2 * kPollMs));
     // The kernel drops connection requests once the queue is full.
     listen(listen_fd_, 0);
     sockaddr_in address = {};
@@ -89,6 +91,7 @@
     }
   }
   int connections() const { return connections_.load(); }
+  int health_checks() const { return health_checks_.load(); }
   /// @returns true once a peer has closed a connection that stalls
   bool abandoned() const { return abandoned_.load(); }
 
@@ -148,6 +151,13 @@
       if (request.empty()) {
         break;
       }
+      if (request.starts_with("GET /health ")) {
+        constexpr std::string_view kHealthy =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        send(fd, kHealthy.data(), kHealthy.size(), MSG_NOSIGNAL);
+        health_checks_.fetch_add(1);
+        continue;
+      }
       {
         std::lock_guard lock(mutex_);
         requests_.push_back(request);
@@ -186,6 +196,7 @@
   std::atomic<bool> silent_{false};
   std::vector<int> unanswered_;  // Fill the queue of new connections.
   std::atomic<int> connections_{0};
+  std::atomic<int> health_checks_{0};
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
   std::thread accepting_;
--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -155,10 +155,13 @@
   std::string request_id;  ///< Of the request that is answered; may be empty.
   bool not_run = false;    ///< The upstream says that it ran nothing.
   bool other_instance = false;  ///< Another server has this address now.
+  std::string instance;         ///< That answers a health check; may be empty.
 
   auto operator<=>(const UpstreamAnswer&) const = default;
 };
 
+struct UpstreamInstance;
+
 /// Translates between the headers of a deployment's HTTP dialect and the types
 /// above.
 class CallerProtocolI {
@@ -169,6 +172,9 @@
   virtual std::string EncodeSend(const HttpHead& head,
                                  const CallerRequest& request,
                                  const UpstreamSend& send) const = 0;
+  /// @returns a whole health check
+  virtual std::string EncodeHealthCheck(const UpstreamInstance& upstream,
+                                        const std::string& path) const = 0;
   virtual UpstreamAnswer DecodeAnswer(const HttpHead& head) const = 0;
   /// @returns the configuration; bad_request with the first mistake
   virtual Outcome<std::shared_ptr<const RouteTable>> ParseConfiguration(
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -23,7 +23,7 @@
 // Another entry can take the request at once.
 constexpr int64_t kDrainRetryAfterMs = 20;
 // A quarantined request may run again once nobody has sent it for a while.
-constexpr int64_t kQuarantineRetryAfterMs = 120'000;
+constexpr int64_t kQuarantineRetryAfterMs = 3'600'000;
 constexpr int64_t kMsPerSecond = 1'000;
 
 int StatusOf(const Refusal& refusal) {
@@ -72,6 +72,7 @@
       request_(std::move(request)),
       info_(gateway.protocol().DecodeRequest(request_.head)),
       table_(gateway.table()),
+      digest_(RequestDigest(request_, info_)),
       random_(HashOf(info_.id)),
       start_ms_(gateway.loop().now_ms()),
       deadline_timer_(gateway.loop()),
@@ -148,10 +149,8 @@
     return Refuse({Reason::kBadRequest, RunState::kNotRun,
                    "streams of this route cannot be resumed"});
   }
-  if (IsQuarantined()) {
-    return Refuse({Reason::kQuarantined, RunState::kNotRun,
-                   "the request has crashed the upstreams that ran it",
-                   kQuarantineRetryAfterMs});
+  if (RefuseQuarantined()) {
+    return;
   }
   deadline_timer_.Start(wait_ms, [this] { OnDeadline(); });
   ChooseService();
@@ -166,9 +165,20 @@
   }
 }
 
-bool GatewayCall::IsQuarantined() {
-  return !gateway_.suspects().empty() &&
-         gateway_.suspects().crashes(digest()) >= kCrashesToQuarantine;
+bool GatewayCall::RefuseQuarantined() {
+  const int32_t crashes = gateway_.CrashesOf(digest_);
+  if (crashes < kCrashesToQuarantine) {
+    return false;
+  }
+  Event(LogLevel::kWarn, "request_quarantined")
+      .Add("request", info_.id)
+      .Add("digest", digest_)
+      .Add("crashes", int{crashes});
+  Refuse({Reason::kQuarantined,
+          maybe_run_ ? RunState::kUnknown : RunState::kNotRun,
+          "the request has crashed the upstreams that ran it",
+          kQuarantineRetryAfterMs});
+  return true;
 }
 
 // A budget without a program is that of the request alone.
@@ -206,6 +216,10 @@
   if (left_ms() <= 0) {
     return OnDeadline();
   }
+  // More may be known than when the request came.
+  if (RefuseQuarantined()) {
+    return;
+  }
   const auto upstream = gateway_.Place(service_, *this);
   if (!upstream && WaitForStart()) {
     return;
@@ -260,6 +274,7 @@
     }
   }
   slow_timer_.Start(std::max(kSlowMs, kSlowGoals * route_->goal_ms), [this] {
+    NoteUnanswered();
     gateway_.NoteFailure(upstream_, Reason::kUpstreamTimeout);
   });
   connection_->Start(this, head, body);
@@ -268,6 +283,7 @@
 // An upstream may have lost the answer, hang or be much slower than others;
 // the last permitted attempt gets all the time that is left.
 void GatewayCall::OnPatienceOver() {
+  NoteUnanswered();
   maybe_run_ = true;
   ++runs_;
   ReleaseConnection(false);
@@ -276,6 +292,13 @@
                  "the upstream did not answer in time", kRetryAfterMs});
 }
 
+// A host without power breaks no connection.
+void GatewayCall::NoteUnanswered() {
+  if (sent_ && connection_ && connection_->connected()) {
+    gateway_.NoteUnanswered(upstream_, digest_, start_ms_ + sent_ms_);
+  }
+}
+
 // Nothing of the request leaves before the connection is established.
 void GatewayCall::OnConnectTimeout() {
   if (connection_ && !connection_->connected()) {
@@ -316,7 +339,9 @@
   if (!never_left) {
     maybe_run_ = true;
     ++runs_;
-    gateway_.NoteBroken(upstream_, digest());
+    if (failure != ExchangeFailure::kMalformed) {
+      gateway_.NoteLost(upstream_, digest_);
+    }
   }
   if (forwarding_ && !route_->resumable) {
     return BreakOff({reason, RunState::kRan, "the upstream broke off"});
@@ -366,6 +391,7 @@
   // A connection that is not established yet has sent nothing.
   const bool only_connecting =
       !maybe_run_ && connection_ && !connection_->connected();
+  NoteUnanswered();
   ReleaseConnection(false);
   Refuse({Reason::kDeadlinePassed,
           may_have_run && !only_connecting ? RunState::kUnknown
@@ -408,6 +434,7 @@
   if (sent_ && !is_stream() && !may_repeat() && connection_->connected()) {
     return;
   }
+  NoteUnanswered();
   ReleaseConnection(false);
   LogEnd("caller_gone", {Reason::kCallerGone, RunState::kUnknown, ""}, 0);
   FinishTurn(false, nullptr);
@@ -435,8 +462,8 @@
       .Add("sent_ms", sent_ms_)
       .Add("head_ms", head_ms_)
       .Add("took_ms", took_ms);
-  if (maybe_run_ && refusal.reason != Reason::kNone) {
-    event.Add("digest", digest());
+  if (refusal.reason != Reason::kNone) {
+    event.Add("digest", digest_);
   }
   if (!refusal.message.empty()) {
     event.Add("detail", refusal.message);
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -37,6 +37,7 @@
 
 bool GatewayCall::OnResponseHead(HttpHead head) {
   const UpstreamAnswer answer = gateway_.protocol().DecodeAnswer(head);
+  gateway_.NoteHeard(upstream_.instance);
   if (!IsOwnAnswer(answer)) {
     metrics::Count("ring_upstream_foreign_answers_total");
     Event(LogLevel::kWarn, "foreign_answer")
@@ -83,6 +84,7 @@
 }
 
 void GatewayCall::OnResponseBody(std::string_view bytes) {
+  gateway_.NoteHeard(upstream_.instance);
   if (streaming_) {
     return ForwardEvents(bytes);
   }
@@ -182,9 +184,8 @@
   } else {
     gateway_.NoteSuccess(upstream_.instance);
   }
-  if (!gateway_.suspects().empty() &&
-      gateway_.suspects().crashes(digest()) > 0) {
-    gateway_.ClearSuspect(digest());
+  if (status_ < kFirstError) {
+    gateway_.NoteAnswered(digest_);
   }
   if (!passed_on && status_ >= kServerError && may_repeat() &&
       can_send_again()) {
--- /dev/null
+++ b/src/gateway_crash_watch.cc
@@ -0,0 +1,232 @@
+#include "gateway_crash_watch_p.h"
+
+#include <algorithm>
+
+namespace ring {
+namespace {
+
+// A crashed process's port refuses within a round trip between regions (16 ms);
+// a host without power does not answer at all.
+constexpr int64_t kCheckMs = 300;
+// Health checks at once: those of a cut from all upstreams of a large ring.
+constexpr size_t kMaxChecks = 256;
+// A process that has started again announces itself within this time.
+constexpr int64_t kRestartMs = 10'000;
+// A crashed process is not back sooner; signs that follow each other faster
+// are of one crash.
+constexpr int64_t kSameCrashMs = 1'000;
+constexpr size_t kMaxUnexplained = 256;
+// An upstream that says nothing for this time may have ended; longer than the
+// pauses between events that callers accept (200 ms).
+constexpr int64_t kSilentMs = 500;
+// Whether an upstream falls silent after an unanswered request is watched for
+// this time.
+constexpr int64_t kWatchMs = 2'500;
+constexpr size_t kMaxUnanswered = 256;
+
+}  // namespace
+
+enum class CrashWatch::Verdict : uint8_t {
+  kAlive,     ///< Answered, or at least took the connection.
+  kReplaced,  ///< Another incarnation answered.
+  kRefused,   ///< Nothing listens, or what listens has nothing behind it.
+  kSilent,    ///< The host does not answer.
+};
+
+class CrashWatch::Check final : public HttpExchangeListenerI {
+ public:
+  Check(CrashWatch& watch,
+        const UpstreamInstance& upstream,
+        const std::string& health_path)
+      : watch_(watch),
+        lost_{upstream, watch.loop_.now_ms(), {}},
+        timer_(watch.loop_),
+        connection_(
+            HttpClientConnection::Connect(watch.loop_, {}, upstream.address)) {
+    if (connection_) {
+      connection_->Start(
+          this, watch.protocol_.EncodeHealthCheck(upstream, health_path), "");
+    }
+    timer_.Start(kCheckMs, [this] {
+      // A busy upstream takes connections and answers later.
+      const bool taken = !connection_ || connection_->connected();
+      End(taken ? Verdict::kAlive : Verdict::kSilent);
+    });
+  }
+
+  bool OnResponseHead(HttpHead head) override {
+    const UpstreamAnswer answer = watch_.protocol_.DecodeAnswer(head);
+    const bool other =
+        answer.other_instance || (!answer.instance.empty() &&
+                                  answer.instance != lost_.upstream.instance);
+    End(other ? Verdict::kReplaced : Verdict::kAlive);
+    return false;
+  }
+  void OnResponseBody(std::string_view /*bytes*/) override {}
+  void OnResponseEnd() override {}
+  void OnExchangeFailed(ExchangeFailure failure) override {
+    const bool not_there = failure == ExchangeFailure::kNotConnected ||
+                           failure == ExchangeFailure::kNoResponse;
+    End(not_there ? Verdict::kRefused : Verdict::kAlive);
+  }
+
+  ObservedCrash& lost() { return lost_; }
+
+ private:
+  void End(Verdict verdict) {
+    if (!std::exchange(ended_, true)) {
+      watch_.End(lost_.upstream.instance, verdict);
+    }
+  }
+
+  bool ended_ = false;
+  CrashWatch& watch_;
+  ObservedCrash lost_;
+  ScopedTimer timer_;
+  std::unique_ptr<HttpClientConnection> connection_;
+};
+
+CrashWatch::CrashWatch(EventLoop& loop,
+                       const CallerProtocolI& protocol,
+                       Crashed crashed)
+    : loop_(loop), protocol_(protocol), crashed_(std::move(crashed)) {}
+CrashWatch::~CrashWatch() = default;
+
+void CrashWatch::OnLost(const UpstreamInstance& upstream,
+                        const std::string& health_path,
+                        uint64_t digest) {
+  auto found = checks_.find(upstream.instance);
+  if (found == checks_.end()) {
+    if (checks_.size() >= kMaxChecks) {
+      metrics::Count("ring_upstream_checks_total", {{"verdict", "not_made"}});
+      return;
+    }
+    found = checks_
+                .emplace(upstream.instance,
+                         std::make_shared<Check>(*this, upstream, health_path))
+                .first;
+  }
+  found->second->lost().digests.insert(digest);
+}
+
+void CrashWatch::OnUnanswered(const UpstreamInstance& upstream,
+                              const std::string& health_path,
+                              uint64_t digest,
+                              int64_t sent_ms) {
+  const auto known = unanswered_.find(upstream.instance);
+  if (known != unanswered_.end()) {
+    known->second.digests.insert(digest);
+  } else if (unanswered_.size() < kMaxUnanswered) {
+    unanswered_[upstream.instance] = {upstream, health_path, sent_ms, {digest}};
+    CheckSilence(upstream.instance);
+  }
+}
+
+void CrashWatch::CheckSilence(const std::string& instance) {
+  const auto found = unanswered_.find(instance);
+  const auto heard = heard_ms_.find(instance);
+  const int64_t now_ms = loop_.now_ms();
+  const Unanswered& item = found->second;
+  const int64_t silent_ms =
+      now_ms -
+      std::max(heard == heard_ms_.end() ? 0 : heard->second, item.since_ms);
+  if (silent_ms < kSilentMs && now_ms - item.since_ms < kWatchMs) {
+    loop_.After(kSilentMs - silent_ms,
+                [this, instance] { CheckSilence(instance); });
+    return;
+  }
+  if (silent_ms >= kSilentMs) {
+    for (const uint64_t digest : item.digests) {
+      OnLost(item.upstream, item.health_path, digest);
+    }
+  }
+  unanswered_.erase(found);
+}
+
+void CrashWatch::End(const std::string& instance, Verdict verdict) {
+  const auto found = checks_.find(instance);
+  if (found == checks_.end()) {
+    return;
+  }
+  // Called by the check, which is destroyed after the current callbacks.
+  const std::shared_ptr<Check> check = std::move(found->second);
+  checks_.erase(found);
+  loop_.Defer([check] {});
+  constexpr const char* kNames[] = {"alive", "replaced", "refused", "silent"};
+  const char* const name = kNames[static_cast<size_t>(verdict)];
+  ObservedCrash& lost = check->lost();
+  metrics::Count("ring_upstream_checks_total", {{"verdict", name}});
+  Event(LogLevel::kInfo, "upstream_checked")
+      .Add("upstream", instance)
+      .Add("verdict", name)
+      .Add("after_ms", loop_.now_ms() - lost.at_ms)
+      .Add("requests", uint64_t{lost.digests.size()})
+      .Add("digest", lost.digests.empty() ? 0 : *lost.digests.begin());
+  if (verdict != Verdict::kAlive) {
+    return Report(std::move(lost));
+  }
+  std::erase_if(unexplained_, [this](const ObservedCrash& earlier) {
+    return earlier.at_ms + kRestartMs < loop_.now_ms();
+  });
+  std::erase_if(heard_ms_, [this](const auto& item) {
+    return item.second + kRestartMs < loop_.now_ms();
+  });
+  if (unexplained_.size() < kMaxUnexplained) {
+    unexplained_.push_back(std::move(lost));
+  }
+}
+
+void CrashWatch::OnReported(const UpstreamInstance& upstream) {
+  const auto replaced = [&](const ObservedCrash& lost) {
+    return lost.upstream.born_ms < upstream.born_ms &&
+           lost.at_ms + kRestartMs >= loop_.now_ms() &&
+           (lost.upstream.instance == upstream.instance ||
+            lost.upstream.address == upstream.address);
+  };
+  std::vector<std::string> replaced_checks;
+  for (const auto& [instance, check] : checks_) {
+    if (replaced(check->lost())) {
+      replaced_checks.push_back(instance);
+    }
+  }
+  for (const std::string& instance : replaced_checks) {
+    End(instance, Verdict::kReplaced);
+  }
+  const auto first = std::stable_partition(
+      unexplained_.begin(), unexplained_.end(),
+      [&](const ObservedCrash& lost) { return !replaced(lost); });
+  std::vector<ObservedCrash> crashes(
+      std::make_move_iterator(first),
+      std::make_move_iterator(unexplained_.end()));
+  unexplained_.erase(first, unexplained_.end());
+  for (ObservedCrash& crash : crashes) {
+    Report(std::move(crash));
+  }
+}
+
+// Signs of one crash may follow each other until the upstream is back; all are
+// reported with the time of the first.
+void CrashWatch::Report(ObservedCrash crash) {
+  std::erase_if(crashes_, [this](const auto& item) {
+    return item.second.first + kRestartMs < loop_.now_ms();
+  });
+  auto& [last_ms, known] = crashes_[crash.upstream.instance];
+  if (known.upstream.born_ms == crash.upstream.born_ms &&
+      crash.at_ms - last_ms <= kSameCrashMs) {
+    last_ms = crash.at_ms;
+    crash.at_ms = known.at_ms;
+  } else {
+    last_ms = crash.at_ms;
+    known = crash;
+  }
+  crashed_(crash);
+}
+
+int32_t CrashWatch::open(uint64_t digest) const {
+  return static_cast<int32_t>(
+      std::count_if(checks_.begin(), checks_.end(), [digest](const auto& item) {
+        return item.second->lost().digests.contains(digest);
+      }));
+}
+
+}  // namespace ring
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -16,8 +16,6 @@
 // Sessions and parts of prompts, about 100 bytes each: the turns of the last
 // minutes at the 11 requests a second that an entry is designed for.
 constexpr size_t kAffinityEntries = 4'000;
-// A crash of an upstream is reported within this time or not at all.
-constexpr int64_t kReportMs = 5'000;
 // Left for the process to end before it is killed.
 constexpr int64_t kGraceMarginMs = 400;
 constexpr int64_t kPruneMs = 5'000;
@@ -72,8 +70,8 @@
       pool_(loop),
       chains_(init.chain_cache_bytes),
       affinity_(kAffinityEntries),
-      crash_watch_(loop, [this](const auto& upstream, const auto& digests) {
-        ReportCrash(upstream, digests);
+      crash_watch_(loop, protocol, [this](const ObservedCrash& crash) {
+        OnCrash(crash);
       }) {}
 
 Gateway::Impl::~Impl() = default;
@@ -94,7 +92,10 @@
   ready_server_ = std::move(*ready);
   AddKeepers(init_.keepers);
   news_until_ms_ = loop_.now_ms() + kStartMs;
-  loop_.Every(kPruneMs, [this] { upstreams_.Prune(); });
+  loop_.Every(kPruneMs, [this] {
+    upstreams_.Prune();
+    suspects_.Expire(loop_.now_ms());
+  });
   loop_.Every(kGaugesMs, [this] { SetGauges(); });
   return Done{};
 }
@@ -194,6 +195,7 @@
   }
   for (const UpstreamTable::Report& report :
        upstreams_.Merge(node, update->whole(), reports)) {
+    crash_watch_.OnReported(report.upstream);
     Event(LogLevel::kInfo, "upstream_reported")
         .Add("upstream", report.upstream.instance)
         .Add("address", report.upstream.address.ToString())
@@ -272,51 +274,6 @@
   }
 }
 
-void Gateway::Impl::OnSuspectList(const std::string& payload) {
-  const FlatView<fb::SuspectList> list(payload);
-  if (!list) {
-    return;
-  }
-  std::vector<SuspectedRequest> requests;
-  if (list->requests() != nullptr) {
-    for (const fb::SuspectedRequest* row : *list->requests()) {
-      requests.push_back({row->digest(), static_cast<int32_t>(row->crashes())});
-      Event(LogLevel::kInfo, "request_suspected")
-          .Add("digest", row->digest())
-          .Add("crashes", uint64_t{row->crashes()});
-    }
-  }
-  suspects_.Set(requests);
-}
-
-void Gateway::Impl::ReportCrash(const UpstreamInstance& upstream,
-                                const std::set<uint64_t>& digests) {
-  metrics::Count("ring_upstream_crashes_total");
-  Event(LogLevel::kWarn, "upstream_crashed")
-      .Add("upstream", upstream.instance)
-      .Add("requests", uint64_t{digests.size()})
-      .Add("digest", digests.empty() ? 0 : *digests.begin());
-  fb::ReportCrashT crash;
-  crash.upstream = upstream.instance;
-  crash.born_ms = upstream.born_ms;
-  crash.digests.assign(digests.begin(), digests.end());
-  state_->Propose(
-      state_codec::EncodeCrash(crash), kReportMs,
-      [instance = upstream.instance](const Outcome<fb::StateResultT>& outcome) {
-        if (!outcome) {
-          metrics::Count("ring_crash_reports_lost_total");
-          Event(LogLevel::kWarn, "crash_report_lost")
-              .Add("upstream", instance)
-              .Add("detail", outcome.refusal().message);
-        }
-      });
-}
-
-void Gateway::Impl::ClearSuspect(uint64_t digest) {
-  Event(LogLevel::kInfo, "suspect_cleared").Add("digest", digest);
-  state_->Propose(state_codec::EncodeClearSuspect(digest), kReportMs, nullptr);
-}
-
 // ------------------------------------------------------------------- requests
 
 void Gateway::Impl::OnRequest(HttpServerConnection& connection,
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -9,6 +9,7 @@
 
 #include "gateway_affinity_p.h"
 #include "gateway_chains_p.h"
+#include "gateway_crash_watch_p.h"
 #include "gateway_events_p.h"
 #include "gateway_health_p.h"
 #include "gateway_pool_p.h"
@@ -64,12 +65,18 @@
   void NoteEnded(const std::string& instance);
   void NoteFailure(const UpstreamInstance& upstream, Reason reason);
   /// The connection to an upstream broke while it had a request.
-  void NoteBroken(const UpstreamInstance& upstream, uint64_t digest) {
-    crash_watch_.OnBroken(upstream, digest);
+  void NoteLost(const UpstreamInstance& upstream, uint64_t digest);
+  /// An upstream has not answered a request for long, or it is given up.
+  void NoteUnanswered(const UpstreamInstance& upstream,
+                      uint64_t digest,
+                      int64_t sent_ms);
+  void NoteHeard(const std::string& instance) {
+    crash_watch_.OnHeard(instance);
   }
-  SuspectTable& suspects() { return suspects_; }
-  /// A request that is suspected to crash upstreams has been answered.
-  void ClearSuspect(uint64_t digest);
+  /// A request was answered with success.
+  void NoteAnswered(uint64_t digest);
+  /// @returns upstreams that the request may have crashed
+  int32_t CrashesOf(uint64_t digest) const;
   void NoteError(const std::string& instance) { health_.OnError(instance); }
   void NoteSuccess(const std::string& instance) { health_.OnSuccess(instance); }
   /// @returns false if no keeper has answered for a while
@@ -104,8 +111,11 @@
   void OnConfigNotice(SessionHandle session, const std::string& payload);
   void OnKeeperList(const std::string& payload);
   void OnSuspectList(const std::string& payload);
-  void ReportCrash(const UpstreamInstance& upstream,
-                   const std::set<uint64_t>& digests);
+  void OnCrash(ObservedCrash crash);
+  void ReportCrash(const std::shared_ptr<const ObservedCrash>& crash);
+  void LoseReport(const ObservedCrash& crash, const std::string& detail);
+  std::string HealthPathOf(const std::string& service) const;
+  void ClearSuspect(uint64_t digest);
   void FetchConfiguration();
   void ResumeWaiting();
   void Install(const std::string& document);
@@ -129,6 +139,7 @@
   UpstreamHealth health_;
   CrashWatch crash_watch_;
   SuspectTable suspects_;
+  size_t crash_reports_ = 0;  ///< That no keeper has confirmed.
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<ReadyHandler> ready_handler_;
   std::unique_ptr<HttpServer> ready_server_;
@@ -196,12 +207,15 @@
   /// @param keep the turn was answered whole and may be continued
   void FinishTurn(bool keep, std::function<void(bool kept)> then);
   void ChooseService();
-  /// @returns true if the request has crashed too many upstreams
-  bool IsQuarantined();
-  uint64_t digest() const { return RequestDigest(request_, info_); }
+  /// Refuses a request that has crashed too many upstreams.
+  /// @returns true if it did
+  bool RefuseQuarantined();
+  uint64_t digest() const { return digest_; }
   void Send();
   void SendTo(const Gateway::Impl::Placed& placed);
   void OnConnectTimeout();
+  /// The attempt is given up, or has waited long.
+  void NoteUnanswered();
   /// An idempotent request has waited long enough for this upstream.
   void OnPatienceOver();
   void RestartEvents();
@@ -232,6 +246,7 @@
   std::shared_ptr<const RouteTable> table_;
   const Route* route_ = nullptr;
   std::string service_;
+  const uint64_t digest_;
   const uint64_t random_;
   const int64_t start_ms_;
   int64_t deadline_ms_ = 0;
--- a/src/gateway_suspects.cc
+++ b/src/gateway_suspects.cc
@@ -3,96 +3,69 @@
 namespace ring {
 namespace {
 
-// A crashed process's port refuses within a round trip between regions (16 ms);
-// a machine without power does not answer at all.
-constexpr int64_t kProbeMs = 300;
-// Connections opened at once to look for crashes; a cut of many upstreams needs
-// no look at each.
-constexpr size_t kMaxProbes = 16;
+// A request that was answered so lately does not crash what runs it; covers
+// the time in which several upstreams crash for another reason.
+constexpr int64_t kAnsweredMs = 10'000;
+// Answers that are remembered.
+constexpr size_t kMaxAnswers = 4'096;
 
 }  // namespace
 
-class CrashWatch::Probe final : public ConnectionListenerI {
- public:
-  Probe(CrashWatch& watch, const UpstreamInstance& upstream)
-      : watch_(watch), upstream_(upstream), timer_(watch.loop_) {
-    connection_ = TcpConnection::Connect(watch.loop_, {}, upstream.address);
-    if (connection_) {
-      connection_->SetListener(this);
-    }
-    timer_.Start(kProbeMs, [this] { End("silent"); });
+std::vector<SuspectedRequest> SuspectTable::SetList(
+    uint64_t version,
+    const std::vector<SuspectedRequest>& requests) {
+  std::vector<SuspectedRequest> changed;
+  if (version < version_) {
+    return changed;
   }
-
-  void OnConnected() override { End("accepted"); }
-  void OnBytes(std::string_view /*bytes*/) override {}
-  void OnClosed(CloseKind kind) override {
-    End(kind == CloseKind::kRefused ? kRefused : "closed");
+  version_ = version;
+  std::unordered_map<uint64_t, int32_t> listed;
+  for (const SuspectedRequest& request : requests) {
+    listed[request.digest] = request.crashes;
+    const auto before = listed_.find(request.digest);
+    if (before == listed_.end() || before->second != request.crashes) {
+      changed.push_back(request);
+    }
   }
-
-  const UpstreamInstance& upstream() const { return upstream_; }
-  std::set<uint64_t>& digests() { return digests_; }
-
- private:
-  void End(const char* verdict) {
-    metrics::Count("ring_upstream_checks_total", {{"verdict", verdict}});
-    Event(LogLevel::kInfo, "upstream_checked")
-        .Add("upstream", upstream_.instance)
-        .Add("verdict", verdict)
-        .Add("requests", uint64_t{digests_.size()})
-        .Add("digest", digests_.empty() ? 0 : *digests_.begin());
-    watch_.EndProbe(upstream_.instance, std::string_view(verdict) == kRefused);
+  for (const auto& [digest, crashes] : listed_) {
+    if (!listed.contains(digest)) {
+      // Answered at another entry.
+      own_.Clear(digest);
+    }
   }
+  listed_ = std::move(listed);
+  return changed;
+}
 
-  static constexpr char kRefused[] = "refused";
-  CrashWatch& watch_;
-  const UpstreamInstance upstream_;
-  std::unique_ptr<TcpConnection> connection_;
-  std::set<uint64_t> digests_;
-  ScopedTimer timer_;
-};
-
-CrashWatch::CrashWatch(EventLoop& loop, Crashed crashed)
-    : loop_(loop), crashed_(std::move(crashed)) {}
-CrashWatch::~CrashWatch() = default;
-
-void CrashWatch::OnBroken(const UpstreamInstance& upstream, uint64_t digest) {
-  auto found = probes_.find(upstream.instance);
-  if (found == probes_.end()) {
-    if (probes_.size() >= kMaxProbes) {
-      return;
+bool SuspectTable::OnSuccess(uint64_t digest, int64_t now_ms) {
+  own_.Clear(digest);
+  answered_[digest] = now_ms;
+  answers_.emplace_back(now_ms, digest);
+  while (answers_.size() > kMaxAnswers ||
+         answers_.front().first + kAnsweredMs < now_ms) {
+    const auto& [at_ms, oldest] = answers_.front();
+    const auto found = answered_.find(oldest);
+    if (found != answered_.end() && found->second == at_ms) {
+      answered_.erase(found);
     }
-    found = probes_
-                .emplace(upstream.instance,
-                         std::make_unique<Probe>(*this, upstream))
-                .first;
+    answers_.pop_front();
   }
-  found->second->digests().insert(digest);
+  return listed_.contains(digest);
 }
 
-void CrashWatch::EndProbe(const std::string& instance, bool crashed) {
-  const auto found = probes_.find(instance);
-  if (found == probes_.end()) {
-    return;
-  }
-  // Called by the probe, which is destroyed after the current callbacks.
-  const std::shared_ptr<Probe> probe = std::move(found->second);
-  probes_.erase(found);
-  loop_.Defer([probe] {});
-  if (crashed) {
-    crashed_(probe->upstream(), probe->digests());
-  }
+bool SuspectTable::AnsweredLately(uint64_t digest, int64_t now_ms) const {
+  const auto found = answered_.find(digest);
+  return found != answered_.end() && now_ms - found->second <= kAnsweredMs;
 }
 
-void SuspectTable::Set(const std::vector<SuspectedRequest>& requests) {
-  crashes_.clear();
-  for (const SuspectedRequest& request : requests) {
-    crashes_[request.digest] = request.crashes;
-  }
+void SuspectTable::Expire(int64_t now_ms) {
+  own_.Expire(now_ms);
 }
 
 int32_t SuspectTable::crashes(uint64_t digest) const {
-  const auto found = crashes_.find(digest);
-  return found == crashes_.end() ? 0 : found->second;
+  const auto found = listed_.find(digest);
+  return std::max(found == listed_.end() ? 0 : found->second,
+                  own_.crashes(digest));
 }
 
 uint64_t RequestDigest(const HttpRequest& request, const CallerRequest& info) {
--- a/src/gateway_suspects_p.h
+++ b/src/gateway_suspects_p.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <functional>
-#include <map>
-#include <memory>
-#include <set>
+#include <cstdint>
+#include <deque>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "persimmonring/gateway.h"
@@ -13,41 +12,34 @@
 
 namespace ring {
 
-/// Tells upstreams that have crashed from connections that were only reset: a
-/// crashed upstream refuses new connections at once.
-class CrashWatch {
- public:
-  /// Told of a crash with the requests that were under way at the upstream.
-  using Crashed = std::function<void(const UpstreamInstance& upstream,
-                                     const std::set<uint64_t>& digests)>;
-
-  CrashWatch(EventLoop& loop, Crashed crashed);
-  ~CrashWatch();
-  CrashWatch(const CrashWatch&) = delete;
-  CrashWatch& operator=(const CrashWatch&) = delete;
-
-  /// A connection to an upstream broke while it had a request.
-  void OnBroken(const UpstreamInstance& upstream, uint64_t digest);
-
- private:
-  class Probe;
-  void EndProbe(const std::string& instance, bool crashed);
-
-  EventLoop& loop_;
-  const Crashed crashed_;
-  std::map<std::string, std::unique_ptr<Probe>> probes_;  ///< By instance.
-};
-
-/// Requests that keepers suspect to crash upstreams.
+/// What an entry believes of requests that crash upstreams: the list of the
+/// state group and the crashes that it has seen itself, which hold while no
+/// keeper is in reach.
 class SuspectTable {
  public:
-  void Set(const std::vector<SuspectedRequest>& requests);
-  /// @returns incarnations of upstreams that crashed under the request
+  /// Takes a list of a keeper, unless it is older than the one held.
+  /// @returns the requests that are new in it or whose crashes have changed
+  std::vector<SuspectedRequest> SetList(
+      uint64_t version,
+      const std::vector<SuspectedRequest>& requests);
+  void OnCrash(const UpstreamCrash& crash) { own_.Report(crash); }
+  /// A request was answered with success.
+  /// @returns true if the keepers suspect it
+  bool OnSuccess(uint64_t digest, int64_t now_ms);
+  /// @returns true if the request was answered with success a moment ago
+  bool AnsweredLately(uint64_t digest, int64_t now_ms) const;
+  void Expire(int64_t now_ms);
+  /// @returns upstreams that the request may have crashed
   int32_t crashes(uint64_t digest) const;
-  bool empty() const { return crashes_.empty(); }
+  bool empty() const { return listed_.empty() && own_.empty(); }
+  uint64_t version() const { return version_; }
 
  private:
-  std::unordered_map<uint64_t, int32_t> crashes_;
+  uint64_t version_ = 0;
+  std::unordered_map<uint64_t, int32_t> listed_;
+  SuspectBoard own_;
+  std::unordered_map<uint64_t, int64_t> answered_;    ///< Time by digest.
+  std::deque<std::pair<int64_t, uint64_t>> answers_;  ///< In their order.
 };
 
 /// @returns what the same request has in common with its repetitions
--- /dev/null
+++ b/tests/gateway_suspects_test.cc
@@ -0,0 +1,78 @@
+#include "gateway_suspects_p.h"
+
+#include <gtest/gtest.h>
+
+namespace ring {
+namespace {
+
+constexpr uint64_t kKiller = 7;
+
+/// An entry's belief, with crashes of its own some seconds apart.
+class SuspectTableTest : public testing::Test {
+ protected:
+  void Crash(uint64_t digest) {
+    now_ms_ += 5'000;
+    table_.OnCrash({++upstream_, now_ms_, {digest}});
+  }
+
+  SuspectTable table_;
+  uint32_t upstream_ = 0;
+  int64_t now_ms_ = 0;
+};
+
+// Guards against an entry out of reach that knows only what it was told.
+TEST_F(SuspectTableTest, OwnCrashes_CountWithoutAList) {
+  for (int i = 0; i < kCrashesToQuarantine; ++i) {
+    Crash(kKiller);
+  }
+  EXPECT_EQ(table_.crashes(kKiller), kCrashesToQuarantine);
+}
+
+// Guards against a keeper that lags and takes a quarantine back.
+TEST_F(SuspectTableTest, OlderList_IsIgnored) {
+  table_.SetList(5, {{kKiller, kCrashesToQuarantine}});
+  EXPECT_TRUE(table_.SetList(4, {}).empty());
+  EXPECT_EQ(table_.crashes(kKiller), kCrashesToQuarantine);
+  table_.SetList(6, {});
+  EXPECT_EQ(table_.crashes(kKiller), 0);
+}
+
+// Guards against crashes that count twice, at this entry and in the list.
+TEST_F(SuspectTableTest, CrashThatIsAlsoListed_CountsOnce) {
+  Crash(kKiller);
+  Crash(kKiller);
+  const auto changed = table_.SetList(1, {{kKiller, 2}});
+  EXPECT_EQ(changed, (std::vector<SuspectedRequest>{{kKiller, 2}}));
+  EXPECT_EQ(table_.crashes(kKiller), 2);
+  EXPECT_TRUE(table_.SetList(2, {{kKiller, 2}}).empty());
+}
+
+// Guards against an entry that goes on refusing what others have served.
+TEST_F(SuspectTableTest, RequestThatLeavesTheList_IsClearedHereToo) {
+  for (int i = 0; i < kCrashesToQuarantine; ++i) {
+    Crash(kKiller);
+  }
+  table_.SetList(1, {{kKiller, kCrashesToQuarantine}});
+  table_.SetList(2, {});
+  EXPECT_EQ(table_.crashes(kKiller), 0);
+}
+
+TEST_F(SuspectTableTest, Success_IsToldToKeepersIfTheySuspectTheRequest) {
+  EXPECT_FALSE(table_.OnSuccess(kKiller, now_ms_));
+  table_.SetList(1, {{kKiller, 2}});
+  EXPECT_TRUE(table_.OnSuccess(kKiller, now_ms_));
+}
+
+// Guards against memory that grows with every answer.
+TEST_F(SuspectTableTest, Answers_AreRememberedForAWhile) {
+  constexpr uint64_t kAnswers = 10'000;
+  for (uint64_t i = 0; i < kAnswers; ++i) {
+    table_.OnSuccess(i, now_ms_);
+  }
+  EXPECT_FALSE(table_.AnsweredLately(0, now_ms_));
+  EXPECT_TRUE(table_.AnsweredLately(kAnswers - 1, now_ms_));
+  EXPECT_FALSE(table_.AnsweredLately(kAnswers - 1, now_ms_ + 60'000));
+}
+
+}  // namespace
+}  // namespace ring
