Count crashes that follow each other, not those at one moment

Cause: crashes at one moment were counted like repeats after a crash, though they may have another cause, such as a domain without power.

Ruled out: counting crashes that are not confirmed as one, which fails when two are confirmed and the third is not (traced in the log of the test).

Change: a crash tells of each request when the upstream got it; a board counts it only if that was after the crash counted before.

--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -107,14 +107,18 @@
 struct UpstreamCrash {
   uint32_t upstream = 0;  ///< UpstreamKey of the incarnation.
   int64_t at_ms = 0;      ///< On the clock of the board that it is reported to.
-  std::set<uint64_t> digests;  ///< None: explained by a quarantined request.
+  /// Digest to the time at which the upstream got the request, at the latest.
+  /// None: explained by a quarantined request.
+  std::map<uint64_t, int64_t> requests;
 
   auto operator<=>(const UpstreamCrash&) const = default;
 };
 
 /// Finds the requests that crash whatever runs them, from crashes and the
-/// requests that were under way. A request that was there at several crashes is
-/// quarantined, and these crashes count no more against those beside it. A
+/// requests that were under way. A request that is sent again and again after a
+/// crash and meets another one is quarantined; these crashes count no more
+/// against those beside it. Crashes of several upstreams that had the same
+/// request at the same time count as one: they may have another cause. A
 /// success clears a request. Kept by the state group for all entries, and by
 /// each entry for what it has seen itself.
 ///
@@ -126,8 +130,10 @@
   /// @returns true if something changed
   bool Clear(uint64_t digest);
   void Expire(int64_t now_ms);
-  /// @returns crashes that the request may have caused
-  int32_t crashes(uint64_t digest) const;
+  /// @param open crashes that are not confirmed, in the order of their times
+  /// @returns crashes that the request may have caused, one after the other
+  int32_t crashes(uint64_t digest,
+                  const std::vector<UpstreamCrash>& open = {}) const;
   /// @returns requests with more than one crash, in the order of their digests
   std::vector<SuspectedRequest> List() const;
   bool empty() const { return crashes_.empty() && quarantined_.empty(); }
@@ -146,7 +152,7 @@
  private:
   void Quarantine(const UpstreamCrash& latest);
 
-  std::vector<UpstreamCrash> crashes_;  ///< In the order of their reports.
+  std::vector<UpstreamCrash> crashes_;  ///< In the order of their times.
   std::map<uint64_t, int64_t> quarantined_;
 };
 
@@ -206,7 +212,7 @@
 std::string EncodeDeparture(const UpstreamDeparture& departure);
 std::string EncodeBegin(const fb::BeginTurnT& begin);
 std::string EncodeFinish(const fb::FinishTurnT& finish);
-std::string EncodeCrash(const fb::ReportCrashT& crash);
+std::string EncodeCrashes(const fb::ReportCrashesT& crashes);
 std::string EncodeClearSuspect(uint64_t digest);
 std::string EncodeRetire(const std::string& node);
 std::string EncodeExpire();
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -295,7 +295,7 @@
 // A host without power breaks no connection.
 void GatewayCall::NoteUnanswered() {
   if (sent_ && connection_ && connection_->connected()) {
-    gateway_.NoteUnanswered(upstream_, digest_, start_ms_ + sent_ms_);
+    gateway_.NoteUnanswered(upstream_, LostRequest());
   }
 }
 
@@ -340,7 +340,7 @@
     maybe_run_ = true;
     ++runs_;
     if (failure != ExchangeFailure::kMalformed) {
-      gateway_.NoteLost(upstream_, digest_);
+      gateway_.NoteLost(upstream_, LostRequest());
     }
   }
   if (forwarding_ && !route_->resumable) {
--- a/src/gateway_crash_watch.cc
+++ b/src/gateway_crash_watch.cc
@@ -37,9 +37,11 @@
  public:
   Check(CrashWatch& watch,
         const UpstreamInstance& upstream,
-        const std::string& health_path)
+        const std::string& health_path,
+        int64_t lost_ms)
       : watch_(watch),
-        lost_{upstream, watch.loop_.now_ms(), {}},
+        started_ms_(watch.loop_.now_ms()),
+        lost_{upstream, lost_ms, {}},
         timer_(watch.loop_),
         connection_(
             HttpClientConnection::Connect(watch.loop_, {}, upstream.address)) {
@@ -71,6 +73,7 @@
   }
 
   ObservedCrash& lost() { return lost_; }
+  int64_t age_ms() const { return watch_.loop_.now_ms() - started_ms_; }
 
  private:
   void End(Verdict verdict) {
@@ -81,6 +84,7 @@
 
   bool ended_ = false;
   CrashWatch& watch_;
+  const int64_t started_ms_;
   ObservedCrash lost_;
   ScopedTimer timer_;
   std::unique_ptr<HttpClientConnection> connection_;
@@ -94,7 +98,14 @@
 
 void CrashWatch::OnLost(const UpstreamInstance& upstream,
                         const std::string& health_path,
-                        uint64_t digest) {
+                        const Request& request) {
+  StartCheck(upstream, health_path, request, loop_.now_ms());
+}
+
+void CrashWatch::StartCheck(const UpstreamInstance& upstream,
+                            const std::string& health_path,
+                            const Request& request,
+                            int64_t lost_ms) {
   auto found = checks_.find(upstream.instance);
   if (found == checks_.end()) {
     if (checks_.size() >= kMaxChecks) {
@@ -103,21 +114,24 @@
     }
     found = checks_
                 .emplace(upstream.instance,
-                         std::make_shared<Check>(*this, upstream, health_path))
+                         std::make_shared<Check>(*this, upstream, health_path,
+                                                 lost_ms))
                 .first;
   }
-  found->second->lost().digests.insert(digest);
+  found->second->lost().requests[request.digest] = request.sent_ms;
 }
 
 void CrashWatch::OnUnanswered(const UpstreamInstance& upstream,
                               const std::string& health_path,
-                              uint64_t digest,
-                              int64_t sent_ms) {
+                              const Request& request) {
   const auto known = unanswered_.find(upstream.instance);
   if (known != unanswered_.end()) {
-    known->second.digests.insert(digest);
+    known->second.requests[request.digest] = request.sent_ms;
   } else if (unanswered_.size() < kMaxUnanswered) {
-    unanswered_[upstream.instance] = {upstream, health_path, sent_ms, {digest}};
+    unanswered_[upstream.instance] = {upstream,
+                                      health_path,
+                                      request.sent_ms,
+                                      {{request.digest, request.sent_ms}}};
     CheckSilence(upstream.instance);
   }
 }
@@ -127,17 +141,17 @@
   const auto heard = heard_ms_.find(instance);
   const int64_t now_ms = loop_.now_ms();
   const Unanswered& item = found->second;
-  const int64_t silent_ms =
-      now_ms -
+  const int64_t last_ms =
       std::max(heard == heard_ms_.end() ? 0 : heard->second, item.since_ms);
+  const int64_t silent_ms = now_ms - last_ms;
   if (silent_ms < kSilentMs && now_ms - item.since_ms < kWatchMs) {
     loop_.After(kSilentMs - silent_ms,
                 [this, instance] { CheckSilence(instance); });
     return;
   }
   if (silent_ms >= kSilentMs) {
-    for (const uint64_t digest : item.digests) {
-      OnLost(item.upstream, item.health_path, digest);
+    for (const auto& [digest, sent_ms] : item.requests) {
+      StartCheck(item.upstream, item.health_path, {digest, sent_ms}, last_ms);
     }
   }
   unanswered_.erase(found);
@@ -159,9 +173,9 @@
   Event(LogLevel::kInfo, "upstream_checked")
       .Add("upstream", instance)
       .Add("verdict", name)
-      .Add("after_ms", loop_.now_ms() - lost.at_ms)
-      .Add("requests", uint64_t{lost.digests.size()})
-      .Add("digest", lost.digests.empty() ? 0 : *lost.digests.begin());
+      .Add("after_ms", check->age_ms())
+      .Add("requests", uint64_t{lost.requests.size()})
+      .Add("digest", lost.FirstDigest());
   if (verdict != Verdict::kAlive) {
     return Report(std::move(lost));
   }
@@ -222,11 +236,16 @@
   crashed_(crash);
 }
 
-int32_t CrashWatch::open(uint64_t digest) const {
-  return static_cast<int32_t>(
-      std::count_if(checks_.begin(), checks_.end(), [digest](const auto& item) {
-        return item.second->lost().digests.contains(digest);
-      }));
+std::vector<ObservedCrash> CrashWatch::open() const {
+  std::vector<ObservedCrash> crashes;
+  for (const auto& [instance, check] : checks_) {
+    crashes.push_back(check->lost());
+  }
+  std::sort(crashes.begin(), crashes.end(),
+            [](const ObservedCrash& a, const ObservedCrash& b) {
+              return a.at_ms < b.at_ms;
+            });
+  return crashes;
 }
 
 }  // namespace ring
--- a/src/gateway_crash_watch_p.h
+++ b/src/gateway_crash_watch_p.h
@@ -3,7 +3,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -17,8 +16,21 @@
 /// An upstream that an entry believes to have crashed.
 struct ObservedCrash {
   UpstreamInstance upstream;
-  int64_t at_ms = 0;           ///< On the clock of the loop.
-  std::set<uint64_t> digests;  ///< Requests that were under way there.
+  int64_t at_ms = 0;  ///< On the clock of the loop.
+  /// Digests of the requests that were under way there, and when they were
+  /// sent.
+  std::map<uint64_t, int64_t> requests;
+
+  /// @returns one of the requests, to follow it in the log; 0: none
+  uint64_t FirstDigest() const {
+    return requests.empty() ? 0 : requests.begin()->first;
+  }
+  /// @returns the crash as it is reported to a board with the loop's clock
+  UpstreamCrash ToReport() const {
+    return {
+        UpstreamKey(upstream.instance + "/" + std::to_string(upstream.born_ms)),
+        at_ms, requests};
+  }
 
   auto operator<=>(const ObservedCrash&) const = default;
 };
@@ -36,27 +48,30 @@
   CrashWatch(const CrashWatch&) = delete;
   CrashWatch& operator=(const CrashWatch&) = delete;
 
+  /// A request of which an upstream may not answer any more.
+  struct Request {
+    uint64_t digest = 0;
+    int64_t sent_ms = 0;
+  };
+
   /// The connection to an upstream broke while it had a request.
   /// @param health_path of its service
   void OnLost(const UpstreamInstance& upstream,
               const std::string& health_path,
-              uint64_t digest);
+              const Request& request);
   /// A request is given up, or waits long. The upstream is looked at once it
   /// has said nothing to anyone for a while.
-  /// @param sent_ms when it got the request
   void OnUnanswered(const UpstreamInstance& upstream,
                     const std::string& health_path,
-                    uint64_t digest,
-                    int64_t sent_ms);
+                    const Request& request);
   /// An upstream has said something.
   void OnHeard(const std::string& instance) {
     heard_ms_[instance] = loop_.now_ms();
   }
   /// An upstream has been reported for the first time or again.
   void OnReported(const UpstreamInstance& upstream);
-  /// @returns upstreams that the request may have crashed, while they are
-  ///          looked at
-  int32_t open(uint64_t digest) const;
+  /// @returns crashes that are not confirmed, in the order of their times
+  std::vector<ObservedCrash> open() const;
 
  private:
   class Check;
@@ -65,12 +80,17 @@
     UpstreamInstance upstream;
     std::string health_path;
     int64_t since_ms = 0;
-    std::set<uint64_t> digests;
+    std::map<uint64_t, int64_t> requests;
   };
   enum class Verdict : uint8_t;
   void End(const std::string& instance, Verdict verdict);
   void Report(ObservedCrash crash);
   void CheckSilence(const std::string& instance);
+  /// @param lost_ms last time at which the upstream may have been there
+  void StartCheck(const UpstreamInstance& upstream,
+                  const std::string& health_path,
+                  const Request& request,
+                  int64_t lost_ms);
 
   EventLoop& loop_;
   const CallerProtocolI& protocol_;
--- a/src/gateway_crashes.cc
+++ b/src/gateway_crashes.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "core_flatbuffer_p.h"
 #include "directory.generated.h"
 #include "gateway_p.h"
@@ -5,13 +7,15 @@
 namespace ring {
 namespace {
 
-// A report that no keeper has confirmed is sent again after this time, until it
-// is as old as the crashes that the state group remembers.
+// Crashes that no keeper has confirmed are reported again after this time,
+// until they are as old as those that the state group remembers.
 constexpr int64_t kReportAgainMs = 500;
 constexpr int64_t kReportForMs = 600'000;
-constexpr int64_t kReportMs = 5'000;
-// Reports that wait for a keeper; those that come after them are lost.
-constexpr size_t kMaxReports = 64;
+// The ages in a report are as wrong as it is late.
+constexpr int64_t kReportMs = 1'000;
+constexpr int64_t kClearMs = 5'000;
+// Crashes that wait for a keeper; the oldest ones are dropped.
+constexpr size_t kMaxUnconfirmed = 64;
 
 }  // namespace
 
@@ -44,15 +48,13 @@
 }
 
 void Gateway::Impl::NoteLost(const UpstreamInstance& upstream,
-                             uint64_t digest) {
-  crash_watch_.OnLost(upstream, HealthPathOf(upstream.service), digest);
+                             const CrashWatch::Request& request) {
+  crash_watch_.OnLost(upstream, HealthPathOf(upstream.service), request);
 }
 
 void Gateway::Impl::NoteUnanswered(const UpstreamInstance& upstream,
-                                   uint64_t digest,
-                                   int64_t sent_ms) {
-  crash_watch_.OnUnanswered(upstream, HealthPathOf(upstream.service), digest,
-                            sent_ms);
+                                   const CrashWatch::Request& request) {
+  crash_watch_.OnUnanswered(upstream, HealthPathOf(upstream.service), request);
 }
 
 void Gateway::Impl::NoteAnswered(uint64_t digest) {
@@ -62,30 +64,34 @@
 }
 
 int32_t Gateway::Impl::CrashesOf(uint64_t digest) const {
-  return suspects_.crashes(digest) + crash_watch_.open(digest);
+  std::vector<UpstreamCrash> open;
+  for (const ObservedCrash& crash : crash_watch_.open()) {
+    open.push_back(crash.ToReport());
+  }
+  return open.empty() && suspects_.empty() ? 0
+                                           : suspects_.crashes(digest, open);
 }
 
 void Gateway::Impl::OnCrash(ObservedCrash crash) {
-  std::erase_if(crash.digests, [this](uint64_t digest) {
-    return suspects_.AnsweredLately(digest, loop_.now_ms());
+  std::erase_if(crash.requests, [this](const auto& item) {
+    return suspects_.AnsweredLately(item.first, loop_.now_ms());
   });
   metrics::Count("ring_upstream_crashes_total");
   Event(LogLevel::kWarn, "upstream_crashed")
       .Add("upstream", crash.upstream.instance)
       .Add("born_ms", crash.upstream.born_ms)
-      .Add("requests", uint64_t{crash.digests.size()})
-      .Add("digest", crash.digests.empty() ? 0 : *crash.digests.begin());
-  if (crash.digests.empty()) {
+      .Add("requests", uint64_t{crash.requests.size()})
+      .Add("digest", crash.FirstDigest());
+  if (crash.requests.empty()) {
     return;
   }
-  suspects_.OnCrash({UpstreamKey(crash.upstream.instance + "/" +
-                                 std::to_string(crash.upstream.born_ms)),
-                     crash.at_ms, crash.digests});
-  if (crash_reports_ >= kMaxReports) {
-    return LoseReport(crash, "too many reports wait");
+  suspects_.OnCrash(crash.ToReport());
+  unconfirmed_.push_back(std::move(crash));
+  if (unconfirmed_.size() > kMaxUnconfirmed) {
+    LoseReport(unconfirmed_.front(), "too many crashes wait for a keeper");
+    unconfirmed_.pop_front();
   }
-  ++crash_reports_;
-  ReportCrash(std::make_shared<ObservedCrash>(std::move(crash)));
+  ReportCrashes();
 }
 
 void Gateway::Impl::LoseReport(const ObservedCrash& crash,
@@ -97,32 +103,54 @@
       .Add("detail", detail);
 }
 
-// A report that is repeated is joined with the first by its time.
-void Gateway::Impl::ReportCrash(
-    const std::shared_ptr<const ObservedCrash>& crash) {
-  const int64_t age_ms = loop_.now_ms() - crash->at_ms;
-  fb::ReportCrashT report;
-  report.upstream = crash->upstream.instance;
-  report.born_ms = crash->upstream.born_ms;
-  report.digests.assign(crash->digests.begin(), crash->digests.end());
-  report.age_ms = static_cast<int32_t>(age_ms);
-  state_->Propose(state_codec::EncodeCrash(report), kReportMs,
-                  [this, crash](const Outcome<fb::StateResultT>& outcome) {
-                    if (outcome) {
-                      --crash_reports_;
-                    } else if (loop_.now_ms() - crash->at_ms > kReportForMs) {
-                      --crash_reports_;
-                      LoseReport(*crash, outcome.refusal().message);
-                    } else {
-                      loop_.After(kReportAgainMs,
-                                  [this, crash] { ReportCrash(crash); });
-                    }
+// All crashes go into one report, so that their order is known however late it
+// is; those that are reported twice are joined by their times.
+void Gateway::Impl::ReportCrashes() {
+  if (reporting_crashes_ || unconfirmed_.empty()) {
+    return;
+  }
+  reporting_crashes_ = true;
+  fb::ReportCrashesT report;
+  for (const ObservedCrash& crash : unconfirmed_) {
+    auto row = std::make_unique<fb::ReportedCrashT>();
+    row->upstream = crash.upstream.instance;
+    row->born_ms = crash.upstream.born_ms;
+    for (const auto& [digest, sent_ms] : crash.requests) {
+      row->requests.emplace_back(digest, crash.at_ms - sent_ms);
+    }
+    row->age_ms = static_cast<int32_t>(loop_.now_ms() - crash.at_ms);
+    report.crashes.push_back(std::move(row));
+  }
+  state_->Propose(state_codec::EncodeCrashes(report), kReportMs,
+                  [this, last = unconfirmed_.back()](
+                      const Outcome<fb::StateResultT>& outcome) {
+                    reporting_crashes_ = false;
+                    OnCrashesReported(last, outcome);
                   });
 }
 
+void Gateway::Impl::OnCrashesReported(
+    const ObservedCrash& last,
+    const Outcome<fb::StateResultT>& outcome) {
+  if (outcome) {
+    const auto reported =
+        std::find(unconfirmed_.begin(), unconfirmed_.end(), last);
+    if (reported != unconfirmed_.end()) {
+      unconfirmed_.erase(unconfirmed_.begin(), reported + 1);
+    }
+    return ReportCrashes();
+  }
+  while (!unconfirmed_.empty() &&
+         loop_.now_ms() - unconfirmed_.front().at_ms > kReportForMs) {
+    LoseReport(unconfirmed_.front(), outcome.refusal().message);
+    unconfirmed_.pop_front();
+  }
+  loop_.After(kReportAgainMs, [this] { ReportCrashes(); });
+}
+
 void Gateway::Impl::ClearSuspect(uint64_t digest) {
   Event(LogLevel::kInfo, "suspect_cleared").Add("digest", digest);
-  state_->Propose(state_codec::EncodeClearSuspect(digest), kReportMs, nullptr);
+  state_->Propose(state_codec::EncodeClearSuspect(digest), kClearMs, nullptr);
 }
 
 }  // namespace ring
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -65,17 +66,17 @@
   void NoteEnded(const std::string& instance);
   void NoteFailure(const UpstreamInstance& upstream, Reason reason);
   /// The connection to an upstream broke while it had a request.
-  void NoteLost(const UpstreamInstance& upstream, uint64_t digest);
+  void NoteLost(const UpstreamInstance& upstream,
+                const CrashWatch::Request& request);
   /// An upstream has not answered a request for long, or it is given up.
   void NoteUnanswered(const UpstreamInstance& upstream,
-                      uint64_t digest,
-                      int64_t sent_ms);
+                      const CrashWatch::Request& request);
   void NoteHeard(const std::string& instance) {
     crash_watch_.OnHeard(instance);
   }
   /// A request was answered with success.
   void NoteAnswered(uint64_t digest);
-  /// @returns upstreams that the request may have crashed
+  /// @returns crashes that the request may have caused
   int32_t CrashesOf(uint64_t digest) const;
   void NoteError(const std::string& instance) { health_.OnError(instance); }
   void NoteSuccess(const std::string& instance) { health_.OnSuccess(instance); }
@@ -112,7 +113,9 @@
   void OnKeeperList(const std::string& payload);
   void OnSuspectList(const std::string& payload);
   void OnCrash(ObservedCrash crash);
-  void ReportCrash(const std::shared_ptr<const ObservedCrash>& crash);
+  void ReportCrashes();
+  void OnCrashesReported(const ObservedCrash& last,
+                         const Outcome<fb::StateResultT>& outcome);
   void LoseReport(const ObservedCrash& crash, const std::string& detail);
   std::string HealthPathOf(const std::string& service) const;
   void ClearSuspect(uint64_t digest);
@@ -139,7 +142,8 @@
   UpstreamHealth health_;
   CrashWatch crash_watch_;
   SuspectTable suspects_;
-  size_t crash_reports_ = 0;  ///< That no keeper has confirmed.
+  std::deque<ObservedCrash> unconfirmed_;  ///< No keeper knows them yet.
+  bool reporting_crashes_ = false;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<ReadyHandler> ready_handler_;
   std::unique_ptr<HttpServer> ready_server_;
@@ -210,7 +214,9 @@
   /// Refuses a request that has crashed too many upstreams.
   /// @returns true if it did
   bool RefuseQuarantined();
-  uint64_t digest() const { return digest_; }
+  CrashWatch::Request LostRequest() const {
+    return {digest_, start_ms_ + sent_ms_};
+  }
   void Send();
   void SendTo(const Gateway::Impl::Placed& placed);
   void OnConnectTimeout();
--- a/src/gateway_suspects.cc
+++ b/src/gateway_suspects.cc
@@ -1,5 +1,7 @@
 #include "gateway_suspects_p.h"
 
+#include <algorithm>
+
 namespace ring {
 namespace {
 
@@ -62,10 +64,15 @@
   own_.Expire(now_ms);
 }
 
-int32_t SuspectTable::crashes(uint64_t digest) const {
+int32_t SuspectTable::crashes(uint64_t digest,
+                              const std::vector<UpstreamCrash>& open) const {
+  const bool is_open = std::any_of(
+      open.begin(), open.end(),
+      [digest](const auto& crash) { return crash.requests.contains(digest); });
   const auto found = listed_.find(digest);
-  return std::max(found == listed_.end() ? 0 : found->second,
-                  own_.crashes(digest));
+  const int32_t listed =
+      found == listed_.end() ? 0 : found->second + (is_open ? 1 : 0);
+  return std::max(listed, own_.crashes(digest, open));
 }
 
 uint64_t RequestDigest(const HttpRequest& request, const CallerRequest& info) {
--- a/src/gateway_suspects_p.h
+++ b/src/gateway_suspects_p.h
@@ -29,8 +29,10 @@
   /// @returns true if the request was answered with success a moment ago
   bool AnsweredLately(uint64_t digest, int64_t now_ms) const;
   void Expire(int64_t now_ms);
-  /// @returns upstreams that the request may have crashed
-  int32_t crashes(uint64_t digest) const;
+  /// @param open crashes that are not confirmed, in the order of their times
+  /// @returns crashes that the request may have caused, one after the other
+  int32_t crashes(uint64_t digest,
+                  const std::vector<UpstreamCrash>& open = {}) const;
   bool empty() const { return listed_.empty() && own_.empty(); }
   uint64_t version() const { return version_; }
 
--- a/src/state_codec.cc
+++ b/src/state_codec.cc
@@ -43,8 +43,8 @@
   return EncodeCommand(finish);
 }
 
-std::string EncodeCrash(const fb::ReportCrashT& crash) {
-  return EncodeCommand(crash);
+std::string EncodeCrashes(const fb::ReportCrashesT& crashes) {
+  return EncodeCommand(crashes);
 }
 
 std::string EncodeClearSuspect(uint64_t digest) {
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -15,6 +15,19 @@
   return departure.instance + "/" + std::to_string(departure.born_ms);
 }
 
+UpstreamCrash ToCrash(const fb::ReportedCrash& row, int64_t now_ms) {
+  UpstreamCrash crash;
+  crash.upstream = UpstreamKey(TextFrom(row.upstream()) + "/" +
+                               std::to_string(row.born_ms()));
+  crash.at_ms = now_ms - std::max(row.age_ms(), 0);
+  if (row.requests() != nullptr) {
+    for (const fb::LostRequest* request : *row.requests()) {
+      crash.requests[request->digest()] = crash.at_ms - request->sent_ms();
+    }
+  }
+  return crash;
+}
+
 std::string Pack(const fb::StateResultT& result) {
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(fb::CreateStateResult(builder, &result));
@@ -63,8 +76,8 @@
       return Result(fb::StateCode::Done);
     case fb::StateCommandBody::RegisterUpstream:
       return Register(*command.body_as_RegisterUpstream());
-    case fb::StateCommandBody::ReportCrash:
-      return ReportCrash(*command.body_as_ReportCrash());
+    case fb::StateCommandBody::ReportCrashes:
+      return ReportCrashes(*command.body_as_ReportCrashes());
     case fb::StateCommandBody::ClearSuspect:
       return ClearSuspect(*command.body_as_ClearSuspect());
     case fb::StateCommandBody::NONE:
@@ -245,16 +258,13 @@
   return Result(fb::StateCode::Done);
 }
 
-fb::StateResultT RingStateMachine::Impl::ReportCrash(
-    const fb::ReportCrash& command) {
-  UpstreamCrash crash;
-  crash.upstream = UpstreamKey(TextFrom(command.upstream()) + "/" +
-                               std::to_string(command.born_ms()));
-  crash.at_ms = now_ms_ - std::max(command.age_ms(), 0);
-  if (command.digests() != nullptr) {
-    crash.digests.insert(command.digests()->begin(), command.digests()->end());
+fb::StateResultT RingStateMachine::Impl::ReportCrashes(
+    const fb::ReportCrashes& command) {
+  if (command.crashes() != nullptr) {
+    for (const fb::ReportedCrash* row : *command.crashes()) {
+      suspects_.Report(ToCrash(*row, now_ms_));
+    }
   }
-  suspects_.Report(crash);
   NotifySuspects();
   return Result(fb::StateCode::Done);
 }
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -57,7 +57,7 @@
   fb::StateResultT Begin(const fb::BeginTurn& command);
   fb::StateResultT Finish(const fb::FinishTurn& command);
   fb::StateResultT Retire(const fb::OrderRetire& command);
-  fb::StateResultT ReportCrash(const fb::ReportCrash& command);
+  fb::StateResultT ReportCrashes(const fb::ReportCrashes& command);
   fb::StateResultT ClearSuspect(const fb::ClearSuspect& command);
   /// Tells of the list of suspected requests if it has changed.
   void NotifySuspects();
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -137,7 +137,9 @@
     auto row = std::make_unique<fb::CrashRecordT>();
     row->upstream = crash.upstream;
     row->at_ms = crash.at_ms;
-    row->digests.assign(crash.digests.begin(), crash.digests.end());
+    for (const auto& [digest, sent_ms] : crash.requests) {
+      row->requests.emplace_back(digest, sent_ms);
+    }
     head.suspects->crashes.push_back(std::move(row));
   }
   for (const auto& [digest, since_ms] : suspects_.quarantined()) {
@@ -366,9 +368,11 @@
     const fb::SuspectBoardRecordT& record) {
   std::vector<UpstreamCrash> recent;
   for (const auto& row : record.crashes) {
-    recent.push_back({row->upstream,
-                      row->at_ms,
-                      {row->digests.begin(), row->digests.end()}});
+    UpstreamCrash crash{row->upstream, row->at_ms, {}};
+    for (const fb::LostRequest& request : row->requests) {
+      crash.requests[request.digest()] = request.sent_ms();
+    }
+    recent.push_back(std::move(crash));
   }
   std::map<uint64_t, int64_t> quarantined;
   for (const auto& row : record.quarantined) {
--- a/src/state_suspects.cc
+++ b/src/state_suspects.cc
@@ -15,7 +15,7 @@
 constexpr int64_t kQuarantineMs = 3'600'000;
 // Bounds for crashes of whole domains: what is kept, oldest first out.
 constexpr size_t kMaxCrashes = 256;
-constexpr size_t kMaxDigests = 64;  // Of one crash: slots and queue.
+constexpr size_t kMaxRequests = 64;  // Of one crash: slots and queue.
 constexpr size_t kMaxQuarantined = 1'000;
 
 bool IsSameCrash(const UpstreamCrash& a, const UpstreamCrash& b) {
@@ -30,16 +30,20 @@
       crashes_.begin(), crashes_.end(),
       [&](const UpstreamCrash& known) { return IsSameCrash(known, report); });
   const bool added = crash == crashes_.end();
-  if (!added && crash->digests.empty()) {
+  if (!added && crash->requests.empty()) {
     return;  // Explained.
   }
   if (added) {
-    crash =
-        crashes_.insert(crashes_.end(), {report.upstream, report.at_ms, {}});
+    const auto later = std::find_if(
+        crashes_.begin(), crashes_.end(),
+        [&](const UpstreamCrash& known) { return known.at_ms > report.at_ms; });
+    crash = crashes_.insert(later, {report.upstream, report.at_ms, {}});
   }
-  for (const uint64_t digest : report.digests) {
-    if (crash->digests.size() < kMaxDigests) {
-      crash->digests.insert(digest);
+  for (const auto& [digest, sent_ms] : report.requests) {
+    if (crash->requests.size() < kMaxRequests) {
+      int64_t& latest_ms =
+          crash->requests.try_emplace(digest, sent_ms).first->second;
+      latest_ms = std::max(latest_ms, sent_ms);
     }
   }
   Quarantine(*crash);
@@ -49,8 +53,7 @@
 }
 
 void SuspectBoard::Quarantine(const UpstreamCrash& latest) {
-  const std::set<uint64_t> candidates = latest.digests;
-  for (const uint64_t digest : candidates) {
+  for (const auto& [digest, sent_ms] : latest.requests) {
     if (crashes(digest) >= kCrashesToQuarantine) {
       int64_t& since_ms = quarantined_[digest];
       since_ms = std::max(since_ms, latest.at_ms);
@@ -59,11 +62,11 @@
   // What a quarantined request explains counts against no other one. The crash
   // itself stays, for reports of it that are still on their way.
   for (UpstreamCrash& crash : crashes_) {
-    if (std::any_of(crash.digests.begin(), crash.digests.end(),
-                    [this](uint64_t digest) {
-                      return quarantined_.contains(digest);
+    if (std::any_of(crash.requests.begin(), crash.requests.end(),
+                    [this](const auto& item) {
+                      return quarantined_.contains(item.first);
                     })) {
-      crash.digests.clear();
+      crash.requests.clear();
     }
   }
   if (quarantined_.size() > kMaxQuarantined) {
@@ -76,7 +79,7 @@
 bool SuspectBoard::Clear(uint64_t digest) {
   bool changed = quarantined_.erase(digest) > 0;
   for (UpstreamCrash& crash : crashes_) {
-    changed = crash.digests.erase(digest) > 0 || changed;
+    changed = crash.requests.erase(digest) > 0 || changed;
   }
   return changed;
 }
@@ -90,30 +93,39 @@
   });
 }
 
-int32_t SuspectBoard::crashes(uint64_t digest) const {
+int32_t SuspectBoard::crashes(uint64_t digest,
+                              const std::vector<UpstreamCrash>& open) const {
   if (quarantined_.contains(digest)) {
     return kCrashesToQuarantine;
   }
-  return static_cast<int32_t>(std::count_if(
-      crashes_.begin(), crashes_.end(), [digest](const UpstreamCrash& crash) {
-        return crash.digests.contains(digest);
-      }));
+  int32_t count = 0;
+  int64_t last_ms = INT64_MIN;
+  const auto add = [&](const UpstreamCrash& crash) {
+    const auto request = crash.requests.find(digest);
+    if (request != crash.requests.end() && request->second >= last_ms) {
+      last_ms = crash.at_ms;
+      ++count;
+    }
+  };
+  std::for_each(crashes_.begin(), crashes_.end(), add);
+  std::for_each(open.begin(), open.end(), add);
+  return count;
 }
 
 std::vector<SuspectedRequest> SuspectBoard::List() const {
-  std::map<uint64_t, int32_t> counts;
+  std::set<uint64_t> digests;
   for (const UpstreamCrash& crash : crashes_) {
-    for (const uint64_t digest : crash.digests) {
-      ++counts[digest];
+    for (const auto& [digest, sent_ms] : crash.requests) {
+      digests.insert(digest);
     }
   }
   for (const auto& [digest, since_ms] : quarantined_) {
-    counts[digest] = kCrashesToQuarantine;
+    digests.insert(digest);
   }
   std::vector<SuspectedRequest> list;
-  for (const auto& [digest, crashes] : counts) {
-    if (crashes > 1) {
-      list.push_back({digest, crashes});
+  for (const uint64_t digest : digests) {
+    if (const int32_t count = crashes(digest); count > 1) {
+      list.push_back({digest, count});
     }
   }
   return list;
--- a/tests/gateway_suspects_test.cc
+++ b/tests/gateway_suspects_test.cc
@@ -12,7 +12,7 @@
  protected:
   void Crash(uint64_t digest) {
     now_ms_ += 5'000;
-    table_.OnCrash({++upstream_, now_ms_, {digest}});
+    table_.OnCrash({++upstream_, now_ms_, {{digest, now_ms_ - 100}}});
   }
 
   SuspectTable table_;
@@ -57,6 +57,15 @@
   EXPECT_EQ(table_.crashes(kKiller), 0);
 }
 
+// Guards against the repeat that an entry makes before it knows why the
+// connection broke.
+TEST_F(SuspectTableTest, CrashThatIsNotConfirmed_CountsBesideTheList) {
+  table_.SetList(1, {{kKiller, 2}});
+  EXPECT_EQ(table_.crashes(kKiller, {{9, now_ms_, {{kKiller, now_ms_}}}}),
+            kCrashesToQuarantine);
+  EXPECT_EQ(table_.crashes(kKiller, {{9, now_ms_, {{1, now_ms_}}}}), 2);
+}
+
 TEST_F(SuspectTableTest, Success_IsToldToKeepersIfTheySuspectTheRequest) {
   EXPECT_FALSE(table_.OnSuccess(kKiller, now_ms_));
   table_.SetList(1, {{kKiller, 2}});
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -345,15 +345,17 @@
   EXPECT_EQ(after.departures.size(), 1u);
 }
 
-fb::ReportCrashT CrashOf(const std::string& upstream,
-                         const std::vector<uint64_t>& digests,
-                         int32_t age_ms = 0) {
-  fb::ReportCrashT crash;
-  crash.upstream = upstream;
-  crash.born_ms = 1;
-  crash.digests = digests;
-  crash.age_ms = age_ms;
-  return crash;
+std::string CrashOf(const std::string& upstream,
+                    uint64_t digest,
+                    int32_t age_ms = 0) {
+  auto crash = std::make_unique<fb::ReportedCrashT>();
+  crash->upstream = upstream;
+  crash->born_ms = 1;
+  crash->requests.emplace_back(digest, 0);
+  crash->age_ms = age_ms;
+  fb::ReportCrashesT report;
+  report.crashes.push_back(std::move(crash));
+  return state_codec::EncodeCrashes(report);
 }
 
 // Guards against a request that crashes one upstream after the other, also
@@ -362,14 +364,15 @@
   Recorder recorder;
   RingStateMachine machine({}, &recorder);
   uint64_t index = 0;
+  int64_t now_ms = 0;
   const auto apply = [&](const std::string& command) {
-    machine.Apply(++index, 1'000, command);
+    machine.Apply(++index, now_ms += 10, command);
   };
   for (const std::string upstream : {"i-1", "i-2", "i-2", "i-3"}) {
-    apply(state_codec::EncodeCrash(CrashOf(upstream, {7})));
+    apply(CrashOf(upstream, 7));
   }
   for (const std::string upstream : {"i-4", "i-5", "i-5"}) {
-    apply(state_codec::EncodeCrash(CrashOf(upstream, {8})));
+    apply(CrashOf(upstream, 8));
   }
   const std::vector<SuspectedRequest> both = {{7, kCrashesToQuarantine},
                                               {8, 2}};
@@ -390,11 +393,10 @@
 TEST(RingStateSuspects, ReportSentAgainLater_IsJoinedWithTheFirst) {
   Recorder recorder;
   RingStateMachine machine({}, &recorder);
-  machine.Apply(1, 10'000, state_codec::EncodeCrash(CrashOf("i-1", {7})));
-  machine.Apply(2, 16'000,
-                state_codec::EncodeCrash(CrashOf("i-1", {7}, 6'000)));
+  machine.Apply(1, 10'000, CrashOf("i-1", 7));
+  machine.Apply(2, 16'000, CrashOf("i-1", 7, 6'000));
   EXPECT_TRUE(recorder.suspects.empty());
-  machine.Apply(3, 16'000, state_codec::EncodeCrash(CrashOf("i-1", {7})));
+  machine.Apply(3, 16'000, CrashOf("i-1", 7));
   EXPECT_EQ(recorder.suspects, (std::vector<SuspectedRequest>{{7, 2}}));
 }
 
@@ -402,7 +404,7 @@
 TEST(RingStateSuspects, CrashThatChangesNoList_IsNotTold) {
   Recorder recorder;
   RingStateMachine machine({}, &recorder);
-  machine.Apply(1, 1, state_codec::EncodeCrash(CrashOf("i-1", {7})));
+  machine.Apply(1, 1, CrashOf("i-1", 7));
   machine.Apply(2, 1, state_codec::EncodeExpire());
   EXPECT_EQ(recorder.suspects_version, 0u);
 }
--- a/tests/state_suspects_test.cc
+++ b/tests/state_suspects_test.cc
@@ -12,7 +12,15 @@
  protected:
   void Crash(const std::set<uint64_t>& digests) {
     now_ms_ += 5'000;
-    board_.Report({++upstream_, now_ms_, digests});
+    board_.Report({++upstream_, now_ms_, SentAt(now_ms_ - 100, digests)});
+  }
+  static std::map<uint64_t, int64_t> SentAt(int64_t at_ms,
+                                            const std::set<uint64_t>& digests) {
+    std::map<uint64_t, int64_t> requests;
+    for (const uint64_t digest : digests) {
+      requests[digest] = at_ms;
+    }
+    return requests;
   }
 
   SuspectBoard board_;
@@ -23,7 +31,7 @@
 // Guards against an upstream that returns under its name and is counted once.
 TEST_F(SuspectBoardTest, SameUpstreamCrashingAgain_CountsEachTime) {
   for (int i = 0; i < kCrashesToQuarantine; ++i) {
-    board_.Report({1, i * 3'000, {kKiller}});
+    board_.Report({1, i * 3'000, SentAt(i * 3'000, {kKiller})});
   }
   EXPECT_EQ(board_.crashes(kKiller), kCrashesToQuarantine);
 }
@@ -31,7 +39,7 @@
 // Guards against one crash that several entries report.
 TEST_F(SuspectBoardTest, ReportsOfOneCrash_CountOnce) {
   for (int64_t at_ms : {1'000, 1'200, 600, 1'900}) {
-    board_.Report({1, at_ms, {kKiller}});
+    board_.Report({1, at_ms, SentAt(0, {kKiller})});
   }
   EXPECT_EQ(board_.crashes(kKiller), 1);
 }
@@ -46,11 +54,32 @@
   EXPECT_EQ(board_.List(),
             (std::vector<SuspectedRequest>{{kKiller, kCrashesToQuarantine}}));
   // Another entry reports its requests of the last crash later.
-  board_.Report({upstream_, now_ms_ + 300, {2, 5}});
+  board_.Report({upstream_, now_ms_ + 300, SentAt(now_ms_, {2, 5})});
   EXPECT_EQ(board_.crashes(2), 0);
   EXPECT_EQ(board_.crashes(5), 0);
 }
 
+// Guards against a popular request that is refused because a domain lost its
+// power.
+TEST_F(SuspectBoardTest, UpstreamsThatHadTheRequestAtOnce_CountOnce) {
+  for (uint32_t upstream = 1; upstream <= 5; ++upstream) {
+    board_.Report({upstream, 1'000 + upstream, SentAt(900, {1})});
+  }
+  EXPECT_EQ(board_.crashes(1), 1);
+  // Sent again after the first crash.
+  board_.Report({6, 1'100, SentAt(1'010, {1})});
+  EXPECT_EQ(board_.crashes(1), 2);
+}
+
+// Guards against reports that come in another order than the crashes.
+TEST_F(SuspectBoardTest, ReportsOutOfOrder_CountAsInOrder) {
+  board_.Report({3, 3'000, SentAt(2'500, {kKiller})});
+  board_.Report({1, 1'000, SentAt(500, {kKiller})});
+  EXPECT_EQ(board_.crashes(kKiller), 2);
+  board_.Report({2, 2'000, SentAt(1'500, {kKiller})});
+  EXPECT_EQ(board_.crashes(kKiller), kCrashesToQuarantine);
+}
+
 TEST_F(SuspectBoardTest, SuccessOfARequest_ClearsIt) {
   Crash({kKiller});
   Crash({kKiller});
