Send nothing new to upstreams that say in an answer that they leave

An entry knew of departures from keepers only, so one that is cut off went on sending.

Cause: no part of the entry read the header; the table of upstreams took in the words of keepers and of the log alone.

Ruled out: a push between entries (it would be a second way for departures); asking the upstream's health, which needs a request of its own and a slot.

Change: the protocol reads Server-Leaving from each answer: passed on or not, refusals, errors, heads of streams, late answers to others, health checks. The table keeps who left, by incarnation; no announcement of that incarnation undoes it. Idle connections are closed. If a service has no other upstream, a leaving one serves for one more second, well inside the shortest drain time; then callers get an immediate refusal. One of the entries that have seen it, at random within 0.3 s, has the departure logged, which tells all others.

--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -156,6 +156,7 @@
   bool not_run = false;    ///< The upstream says that it ran nothing.
   bool other_instance = false;  ///< Another server has this address now.
   std::string instance;         ///< That answers a health check; may be empty.
+  bool leaving = false;         ///< The upstream will end.
 
   auto operator<=>(const UpstreamAnswer&) const = default;
 };
@@ -201,9 +202,10 @@
   auto operator<=>(const UpstreamInstance&) const = default;
 };
 
-/// Merges what several keepers say about upstreams. An incarnation never
-/// returns from draining or gone; of two incarnations with one id or address,
-/// the one that started later counts.
+/// All that an entry believes of upstreams: what keepers say, which departures
+/// the log holds, and which upstreams said in an answer that they leave. An
+/// incarnation never returns from draining or gone; of two incarnations with
+/// one id or address, the one that started later counts.
 class UpstreamTable {
  public:
   /// A keeper's word about one upstream.
@@ -221,15 +223,24 @@
                             const std::vector<Report>& reports);
   /// Takes in a state that came with the replicated log.
   void Depart(const UpstreamDeparture& departure);
+  /// Takes in that an upstream said itself that it leaves.
+  /// @returns true if that is new
+  bool Leave(const UpstreamInstance& upstream, int64_t now_ms);
+  /// @returns true if the log holds a departure of the incarnation
+  bool departed(const UpstreamInstance& upstream) const {
+    return departures_.contains({upstream.instance, upstream.born_ms});
+  }
   /// The link to a keeper is lost; what it said last stays until others or it
   /// say more.
   void ForgetKeeper(const std::string& keeper);
-  /// @returns ready upstreams of a service that at least one keeper hears
-  std::vector<const UpstreamInstance*> Ready(const std::string& service) const;
+  /// @returns ready upstreams of a service that at least one keeper hears; if
+  ///          there are none, those that have said a moment ago that they leave
+  std::vector<const UpstreamInstance*> Ready(const std::string& service,
+                                             int64_t now_ms) const;
   const UpstreamInstance* Find(const std::string& instance) const;
   size_t size() const { return entries_.size(); }
   /// Drops what is gone and no longer heard of.
-  void Prune();
+  void Prune(int64_t now_ms);
 
  private:
   struct Entry {
@@ -246,6 +257,8 @@
 
   std::unordered_map<std::string, Entry> entries_;
   std::map<std::pair<std::string, int64_t>, bool> departures_;  // true: gone
+  /// Incarnations that said that they leave, with the time.
+  std::map<std::pair<std::string, int64_t>, int64_t> leaving_ms_;
 };
 
 // ------------------------------------------------------------------- placement
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -38,6 +38,9 @@
 bool GatewayCall::OnResponseHead(HttpHead head) {
   const UpstreamAnswer answer = gateway_.protocol().DecodeAnswer(head);
   gateway_.NoteHeard(upstream_.instance);
+  if (answer.leaving && !answer.other_instance) {
+    gateway_.NoteLeaving(upstream_, "answer");
+  }
   if (!IsOwnAnswer(answer)) {
     metrics::Count("ring_upstream_foreign_answers_total");
     Event(LogLevel::kWarn, "foreign_answer")
--- a/src/gateway_crash_watch.cc
+++ b/src/gateway_crash_watch.cc
@@ -61,6 +61,9 @@
     const bool other =
         answer.other_instance || (!answer.instance.empty() &&
                                   answer.instance != lost_.upstream.instance);
+    if (answer.leaving && !other) {
+      watch_.leaving_(lost_.upstream);
+    }
     End(other ? Verdict::kReplaced : Verdict::kAlive);
     return false;
   }
@@ -92,8 +95,12 @@
 
 CrashWatch::CrashWatch(EventLoop& loop,
                        const CallerProtocolI& protocol,
-                       Crashed crashed)
-    : loop_(loop), protocol_(protocol), crashed_(std::move(crashed)) {}
+                       Crashed crashed,
+                       Leaving leaving)
+    : loop_(loop),
+      protocol_(protocol),
+      crashed_(std::move(crashed)),
+      leaving_(std::move(leaving)) {}
 CrashWatch::~CrashWatch() = default;
 
 void CrashWatch::OnLost(const UpstreamInstance& upstream,
--- a/src/gateway_crash_watch_p.h
+++ b/src/gateway_crash_watch_p.h
@@ -43,7 +43,13 @@
  public:
   using Crashed = std::function<void(const ObservedCrash& crash)>;
 
-  CrashWatch(EventLoop& loop, const CallerProtocolI& protocol, Crashed crashed);
+  using Leaving = std::function<void(const UpstreamInstance& upstream)>;
+
+  /// @param leaving told of upstreams that say so in a health check
+  CrashWatch(EventLoop& loop,
+             const CallerProtocolI& protocol,
+             Crashed crashed,
+             Leaving leaving);
   ~CrashWatch();
   CrashWatch(const CrashWatch&) = delete;
   CrashWatch& operator=(const CrashWatch&) = delete;
@@ -95,6 +101,7 @@
   EventLoop& loop_;
   const CallerProtocolI& protocol_;
   const Crashed crashed_;
+  const Leaving leaving_;
   std::map<std::string, std::shared_ptr<Check>> checks_;  ///< By instance.
   std::map<std::string, Unanswered> unanswered_;          ///< By instance.
   std::unordered_map<std::string, int64_t> heard_ms_;     ///< By instance.
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -13,6 +13,10 @@
 // A started entry that knows little expects to learn more for this time.
 constexpr int64_t kStartMs = 6'000;
 constexpr int64_t kDrainCheckMs = 50;
+// Entries tell keepers of a leaving upstream at random within this time, which
+// is some times what a departure needs to reach them all.
+constexpr int64_t kTellLeavingMs = 300;
+constexpr int64_t kTellLeavingForMs = 5'000;
 // Sessions and parts of prompts, about 100 bytes each: the turns of the last
 // minutes at the 11 requests a second that an entry is designed for.
 constexpr size_t kAffinityEntries = 4'000;
@@ -70,9 +74,13 @@
       pool_(loop),
       chains_(init.chain_cache_bytes),
       affinity_(kAffinityEntries),
-      crash_watch_(loop, protocol, [this](const ObservedCrash& crash) {
-        OnCrash(crash);
-      }) {}
+      crash_watch_(
+          loop,
+          protocol,
+          [this](const ObservedCrash& crash) { OnCrash(crash); },
+          [this](const UpstreamInstance& upstream) {
+            NoteLeaving(upstream, "health_check");
+          }) {}
 
 Gateway::Impl::~Impl() = default;
 
@@ -93,7 +101,7 @@
   AddKeepers(init_.keepers);
   news_until_ms_ = loop_.now_ms() + kStartMs;
   loop_.Every(kPruneMs, [this] {
-    upstreams_.Prune();
+    upstreams_.Prune(loop_.now_ms());
     suspects_.Expire(loop_.now_ms());
   });
   loop_.Every(kGaugesMs, [this] { SetGauges(); });
@@ -315,6 +323,28 @@
   }
 }
 
+void Gateway::Impl::NoteLeaving(const UpstreamInstance& upstream,
+                                const char* source) {
+  if (!upstreams_.Leave(upstream, loop_.now_ms())) {
+    return;
+  }
+  metrics::Count("ring_upstreams_leaving_total", {{"source", source}});
+  Event(LogLevel::kInfo, "upstream_leaving")
+      .Add("upstream", upstream.instance)
+      .Add("born_ms", upstream.born_ms)
+      .Add("source", source)
+      .Add("sequence", upstream.sequence);
+  pool_.CloseIdle(upstream.address);
+  // All entries that use it hear of it at about the same time; one tells.
+  loop_.After(random_() % kTellLeavingMs, [this, upstream] {
+    if (!upstreams_.departed(upstream)) {
+      state_->Propose(state_codec::EncodeDeparture(
+                          {upstream.instance, upstream.born_ms, false}),
+                      kTellLeavingForMs, nullptr);
+    }
+  });
+}
+
 void Gateway::Impl::NoteFailure(const UpstreamInstance& upstream,
                                 Reason reason) {
   const int64_t pause_ms = health_.OnFailure(upstream.instance, loop_.now_ms());
@@ -358,7 +388,7 @@
 std::optional<Gateway::Impl::Placed> Gateway::Impl::Place(
     const std::string& service,
     const GatewayCall& call) const {
-  const auto ready = upstreams_.Ready(service);
+  const auto ready = upstreams_.Ready(service, loop_.now_ms());
   const PlacementInput input = InputFor(ready, service, call);
   for (size_t i = 0; i < ready.size() && call.placed() != 0; ++i) {
     const PlacementCandidate& candidate = input.candidates[i];
@@ -384,7 +414,7 @@
         std::clamp<int64_t>(us / kCostUnitUs, 0, UINT16_MAX));
   };
   const PlacementInput input =
-      InputFor(upstreams_.Ready(service), service, call);
+      InputFor(upstreams_.Ready(service, loop_.now_ms()), service, call);
   for (const UpstreamOffer& offer : OfferPlacements(input)) {
     begin.offers.emplace_back(
         offer.upstream, units(offer.cost_us),
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -78,6 +79,9 @@
   void NoteAnswered(uint64_t digest);
   /// @returns crashes that the request may have caused
   int32_t CrashesOf(uint64_t digest) const;
+  /// An upstream said that it leaves.
+  /// @param source what it answered: a request or a health check
+  void NoteLeaving(const UpstreamInstance& upstream, const char* source);
   void NoteError(const std::string& instance) { health_.OnError(instance); }
   void NoteSuccess(const std::string& instance) { health_.OnSuccess(instance); }
   /// @returns false if no keeper has answered for a while
@@ -138,6 +142,7 @@
   std::map<SessionHandle, uint64_t> announced_;  ///< Versions by keeper.
   bool fetching_ = false;
   UpstreamTable upstreams_;
+  std::minstd_rand random_{std::random_device{}()};
   std::unordered_map<std::string, int32_t> in_flight_;  ///< By instance.
   UpstreamHealth health_;
   CrashWatch crash_watch_;
--- a/src/gateway_pool.cc
+++ b/src/gateway_pool.cc
@@ -74,6 +74,17 @@
   idle_[key].push_back({std::move(connection), loop_.now_ms() + keep_ms});
 }
 
+void ConnectionPool::CloseIdle(const Endpoint& endpoint) {
+  const auto found = idle_.find(endpoint.ToString());
+  if (found == idle_.end()) {
+    return;
+  }
+  for (Idle& idle : found->second) {
+    Discard(std::move(idle.connection));
+  }
+  idle_.erase(found);
+}
+
 void ConnectionPool::Discard(Connection connection) {
   connection->Cancel();
   const std::shared_ptr<HttpClientConnection> kept = std::move(connection);
--- a/src/gateway_pool_p.h
+++ b/src/gateway_pool_p.h
@@ -24,6 +24,8 @@
   /// Takes back a connection whose exchange has ended.
   void Give(const Endpoint& endpoint, Connection connection);
   /// Destroys a connection after the current callbacks.
+  /// Closes the connections to an endpoint that wait for a request.
+  void CloseIdle(const Endpoint& endpoint);
   void Discard(Connection connection);
 
  private:
--- a/src/gateway_upstream_table.cc
+++ b/src/gateway_upstream_table.cc
@@ -3,6 +3,16 @@
 #include "persimmonring/gateway.h"
 
 namespace ring {
+namespace {
+
+// A leaving upstream serves this long if there is no other; well inside the
+// shortest time that upstreams go on serving (2.5 s).
+constexpr int64_t kLastResortMs = 1'000;
+// Upstreams end some seconds after they have said that they leave; keepers that
+// lag may still report them for as long as they are cut off.
+constexpr int64_t kForgetLeavingMs = 3'600'000;
+
+}  // namespace
 
 std::vector<UpstreamTable::Report> UpstreamTable::Merge(
     const std::string& keeper,
@@ -52,6 +62,10 @@
         entry.upstream.state,
         departed->second ? UpstreamState::kGone : UpstreamState::kDraining);
   }
+  if (leaving_ms_.contains({news.instance, entry.upstream.born_ms})) {
+    entry.upstream.state =
+        std::max(entry.upstream.state, UpstreamState::kDraining);
+  }
   if (entry.upstream.state == UpstreamState::kReady) {
     ResolveAddress(entry.upstream);
   }
@@ -80,6 +94,18 @@
   }
 }
 
+bool UpstreamTable::Leave(const UpstreamInstance& upstream, int64_t now_ms) {
+  const bool added =
+      leaving_ms_.try_emplace({upstream.instance, upstream.born_ms}, now_ms)
+          .second;
+  const auto it = entries_.find(upstream.instance);
+  if (it != entries_.end() && it->second.upstream.born_ms == upstream.born_ms) {
+    it->second.upstream.state =
+        std::max(it->second.upstream.state, UpstreamState::kDraining);
+  }
+  return added;
+}
+
 void UpstreamTable::ForgetKeeper(const std::string& keeper) {
   for (auto& [instance, entry] : entries_) {
     entry.heard_by.erase(keeper);
@@ -87,14 +113,28 @@
 }
 
 std::vector<const UpstreamInstance*> UpstreamTable::Ready(
-    const std::string& service) const {
+    const std::string& service,
+    int64_t now_ms) const {
   std::vector<const UpstreamInstance*> ready;
+  std::vector<const UpstreamInstance*> last_resort;
   for (const auto& [instance, entry] : entries_) {
-    if (entry.upstream.service == service && !entry.heard_by.empty() &&
-        entry.upstream.state == UpstreamState::kReady) {
-      ready.push_back(&entry.upstream);
+    const UpstreamInstance& upstream = entry.upstream;
+    if (upstream.service != service || entry.heard_by.empty()) {
+      continue;
+    }
+    if (upstream.state == UpstreamState::kReady) {
+      ready.push_back(&upstream);
+    } else if (upstream.state == UpstreamState::kDraining &&
+               !departed(upstream)) {
+      const auto left = leaving_ms_.find({instance, upstream.born_ms});
+      if (left != leaving_ms_.end() && now_ms - left->second <= kLastResortMs) {
+        last_resort.push_back(&upstream);
+      }
     }
   }
+  if (ready.empty()) {
+    ready = std::move(last_resort);
+  }
   std::sort(ready.begin(), ready.end(), [](const auto* a, const auto* b) {
     return a->instance < b->instance;
   });
@@ -106,7 +146,10 @@
   return it == entries_.end() ? nullptr : &it->second.upstream;
 }
 
-void UpstreamTable::Prune() {
+void UpstreamTable::Prune(int64_t now_ms) {
+  std::erase_if(leaving_ms_, [now_ms](const auto& item) {
+    return item.second + kForgetLeavingMs < now_ms;
+  });
   std::erase_if(entries_, [](const auto& item) {
     return item.second.upstream.state == UpstreamState::kGone &&
            item.second.heard_by.empty();
--- /dev/null
+++ b/tests/gateway_leaving_test.cc
@@ -0,0 +1,220 @@
+#include "gateway_fixture.h"
+
+namespace ring {
+namespace {
+
+using fakes::ScriptedReply;
+using Then = ScriptedReply::Then;
+
+constexpr char kLeaving[] = "Server-Leaving: 1\r\n";
+
+/// Upstreams of a service, of which the one that gets the first request says in
+/// its answer that it leaves. The registry shows all of them ready.
+class GatewayLeavingTest : public GatewayCallTest {
+ protected:
+  using Answer = std::function<ScriptedReply(const std::string& request)>;
+
+  /// @param first answer to the first request
+  void Serve(bool engine, size_t count, const Answer& first) {
+    for (size_t i = 0; i < count; ++i) {
+      const auto script = [this, i, first](const std::string& request) {
+        if (!answered_.exchange(true)) {
+          leaving_ = i;
+          return first(request);
+        }
+        return request.starts_with("POST /talk")
+                   ? Events(request, {"a"})
+                   : ScriptedReply{{Whole(200, request, "ok")}};
+      };
+      engine ? ServeEngine(script) : ServeTool(script);
+    }
+    ConfigureAll();
+  }
+  void ServeTools(const Answer& first) { Serve(false, 2, first); }
+
+  /// Sends more requests at once than the others would get if all were equal,
+  /// and expects that the others answer them.
+  void ExpectServedByOthers(const std::string& path = "/order/1") {
+    // The pause after a failure (300 ms) keeps requests away as well.
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    const size_t before = upstreams_[leaving_]->requests().size();
+    constexpr int kCallers = 24;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([this, path, id = std::to_string(++sent_)] {
+        EXPECT_EQ(Post(path, "Request-Id: a" + id, "x").status(), 200);
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    EXPECT_EQ(upstreams_[leaving_]->requests().size(), before);
+  }
+  CallerAnswer SendFirst(const std::string& path = "/order/1") {
+    return Post(path, "Request-Id: first", "x");
+  }
+
+  std::atomic<bool> answered_{false};
+  std::atomic<size_t> leaving_{0};
+  int sent_ = 0;
+};
+
+TEST_F(GatewayLeavingTest, PlainAnswer_SendsNewWorkElsewhere) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok", kLeaving)}};
+  });
+  EXPECT_EQ(SendFirst().status(), 200);
+  ExpectServedByOthers();
+}
+
+TEST_F(GatewayLeavingTest, ClientError_SendsNewWorkElsewhere) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(404, request, "no", kLeaving)}};
+  });
+  EXPECT_EQ(SendFirst().status(), 404);
+  ExpectServedByOthers();
+}
+
+TEST_F(GatewayLeavingTest, ServerError_SendsNewWorkElsewhere) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(500, request, "failed", kLeaving)}};
+  });
+  EXPECT_EQ(SendFirst().status(), 500);
+  ExpectServedByOthers();
+}
+
+TEST_F(GatewayLeavingTest, RefusalThatDidNotRun_SendsRepeatsElsewhere) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{
+        {Whole(503, request, "",
+               std::string(kLeaving) + "Persimmonring-Not-Executed: 1\r\n")}};
+  });
+  EXPECT_EQ(SendFirst().status(), 200);
+  ExpectServedByOthers();
+}
+
+// Guards against an answer whose header is read only when it is passed on.
+TEST_F(GatewayLeavingTest, AnswerThatIsNotPassedOn_SendsNewWorkElsewhere) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(500, request, "failed", kLeaving)}};
+  });
+  EXPECT_EQ(Get("/read/1", "Request-Id: first").status(), 200);
+  ExpectServedByOthers();
+}
+
+// Guards against a header that counts only at the end of a long stream.
+TEST_F(GatewayLeavingTest, HeadOfAStream_SendsNewWorkElsewhere) {
+  Serve(true, 2, [](const std::string& request) {
+    std::string head = StreamHead(request);
+    head.insert(head.find("\r\n") + 2, kLeaving);
+    return ScriptedReply{{head, Chunk("id: 1\ndata: a\n\n")}, Then::kStall};
+  });
+  const int fd = Connect();
+  const std::string request =
+      "POST /talk/1 HTTP/1.1\r\nHost: h\r\nPersimmonring-Request-Id: "
+      "first\r\nContent-Length: 1\r\n\r\nx";
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  WaitFor([this] { return answered_.load(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  ExpectServedByOthers("/talk/2");
+  close(fd);
+}
+
+// Guards against an answer to an earlier request that is only skipped.
+TEST_F(GatewayLeavingTest, LateAnswerToAnotherRequest_SendsNewWorkElsewhere) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{
+        {Whole(200, "Persimmonring-Request-Id: other\r\n\r\n", "", kLeaving),
+         Whole(200, request, "ok")}};
+  });
+  EXPECT_EQ(SendFirst().status(), 200);
+  ExpectServedByOthers();
+}
+
+TEST_F(GatewayLeavingTest, HeaderTwice_SendsNewWorkElsewhere) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(
+        200, request, "ok", std::string("Server-Leaving: 0\r\n") + kLeaving)}};
+  });
+  SendFirst();
+  ExpectServedByOthers();
+}
+
+// Guards against an upstream that is given up for a word nobody defined.
+TEST_F(GatewayLeavingTest, AnotherValue_ChangesNothing) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok", "Server-Leaving: 0\r\n")}};
+  });
+  SendFirst();
+  const size_t before = upstreams_[leaving_]->requests().size();
+  for (int i = 0; i < 20; ++i) {
+    Post("/order/1", "Request-Id: a" + std::to_string(i), "x");
+  }
+  EXPECT_GT(upstreams_[leaving_]->requests().size(), before);
+}
+
+// Guards against an entry that learns of departures from keepers only.
+TEST_F(GatewayLeavingTest, WithoutKeepers_NewWorkGoesElsewhere) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok", kLeaving)}};
+  });
+  FreezeKeeper();
+  SendFirst();
+  ExpectServedByOthers();
+  ThawKeeper();
+}
+
+// Guards against an announcement that undoes what an answer said.
+TEST_F(GatewayLeavingTest, LaterAnnouncementOfTheSameStart_ChangesNothing) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok", kLeaving)}};
+  });
+  SendFirst();
+  Announce("i-" + std::to_string(leaving_ + 1), "tool",
+           upstreams_[leaving_]->endpoint());
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  ExpectServedByOthers();
+}
+
+// Guards against a belief that outlives its incarnation.
+TEST_F(GatewayLeavingTest, NewStartUnderTheSameId_IsUsed) {
+  Serve(false, 1, [](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok", kLeaving)}};
+  });
+  SendFirst();
+  // Longer than a leaving upstream serves for want of another.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'300));
+  const CallerAnswer refused = Post("/order/1", "Request-Id: r", "x");
+  EXPECT_EQ(refused.status(), 503);
+  EXPECT_NE(refused.text.find("Retry-After"), std::string::npos);
+  Announce("i-1", "tool", upstreams_[0]->endpoint(), 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(Post("/order/1", "Request-Id: n", "x").status(), 200);
+}
+
+// Guards against refusals while the only upstream may still take work.
+TEST_F(GatewayLeavingTest, OnlyUpstream_ServesForAWhile) {
+  Serve(false, 1, [](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok", kLeaving)}};
+  });
+  SendFirst();
+  EXPECT_EQ(Post("/order/1", "Request-Id: a", "x").status(), 200);
+}
+
+// Guards against each entry that has to be told by the upstream itself.
+TEST_F(GatewayLeavingTest, OtherEntries_AreToldByKeepers) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(200, request, "ok", kLeaving)}};
+  });
+  SendFirst();
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  RestartEntry();
+  WaitFor([this] {
+    return Post("/order/1", "Request-Id: w" + std::to_string(++sent_), "x")
+               .status() == 200;
+  });
+  ExpectServedByOthers();
+}
+
+}  // namespace
+}  // namespace ring
--- a/tests/gateway_tables_test.cc
+++ b/tests/gateway_tables_test.cc
@@ -68,11 +68,63 @@
     upstream.state = state;
     return {upstream, true};
   }
-  size_t ready() const { return table_.Ready("service").size(); }
+  size_t ready() const { return table_.Ready("service", now_ms_).size(); }
 
   UpstreamTable table_;
+  int64_t now_ms_ = 0;
 };
 
+// Guards against an announcement, late or new, that brings back what has said
+// itself that it leaves, and against a belief that outlives the incarnation.
+TEST_F(UpstreamTableTest, LeavingUpstream_NeverReturnsInOneIncarnation) {
+  const auto report = Heard("i", 5, 1, UpstreamState::kReady);
+  table_.Merge("k1", false,
+               {report, Heard("j", 5, 1, UpstreamState::kReady, 2)});
+  EXPECT_TRUE(table_.Leave(report.upstream, now_ms_));
+  EXPECT_FALSE(table_.Leave(report.upstream, now_ms_));
+  EXPECT_EQ(ready(), 1u);
+  table_.Merge("k1", false, {Heard("i", 5, 2, UpstreamState::kReady)});
+  EXPECT_EQ(ready(), 1u);
+  // It ends, is forgotten, and a keeper that lags reports it again.
+  table_.Merge("k1", true, {Heard("i", 5, 3, UpstreamState::kGone)});
+  table_.Merge("k1", true, {Heard("j", 5, 1, UpstreamState::kReady, 2)});
+  table_.Prune(now_ms_);
+  table_.Merge("k2", false, {report});
+  EXPECT_EQ(ready(), 1u);
+  table_.Merge("k1", false, {Heard("i", 6, 1, UpstreamState::kReady)});
+  EXPECT_EQ(ready(), 2u);
+}
+
+// Guards against an answer that is known before the keepers' word.
+TEST_F(UpstreamTableTest, AnswerComesFirst_UpstreamIsNotUsed) {
+  const auto report = Heard("i", 5, 1, UpstreamState::kReady);
+  table_.Leave(report.upstream, now_ms_);
+  table_.Merge("k1", false,
+               {report, Heard("j", 5, 1, UpstreamState::kReady, 2)});
+  ASSERT_EQ(ready(), 1u);
+  EXPECT_EQ(table_.Ready("service", now_ms_)[0]->instance, "j");
+}
+
+// Guards against refusals while the only upstream still serves, and against
+// requests that it gets too late.
+TEST_F(UpstreamTableTest, OnlyLeavingUpstream_IsTheLastResortForAWhile) {
+  const auto report = Heard("i", 5, 1, UpstreamState::kReady);
+  table_.Merge("k1", false, {report});
+  table_.Leave(report.upstream, now_ms_);
+  EXPECT_EQ(ready(), 1u);
+  now_ms_ = 2'000;
+  EXPECT_EQ(ready(), 0u);
+}
+
+// Guards against a last resort whose time to leave began before the answer.
+TEST_F(UpstreamTableTest, LeavingUpstreamThatTheLogKnows_IsNoLastResort) {
+  const auto report = Heard("i", 5, 1, UpstreamState::kReady);
+  table_.Merge("k1", false, {report});
+  table_.Leave(report.upstream, now_ms_);
+  table_.Depart({"i", 5, false});
+  EXPECT_EQ(ready(), 0u);
+}
+
 // Guards against a late message that brings a leaving upstream back.
 TEST_F(UpstreamTableTest, DrainingUpstream_NeverReturnsInOneIncarnation) {
   table_.Merge("k1", false, {Heard("i", 5, 1, UpstreamState::kReady)});
@@ -96,7 +148,7 @@
   table_.Merge("k1", false, {Heard("old", 5, 9, UpstreamState::kReady)});
   table_.Merge("k1", false, {Heard("new", 6, 1, UpstreamState::kReady)});
   ASSERT_EQ(ready(), 1u);
-  EXPECT_EQ(table_.Ready("service")[0]->instance, "new");
+  EXPECT_EQ(table_.Ready("service", now_ms_)[0]->instance, "new");
   // A delayed announcement of the dead one changes nothing.
   table_.Merge("k2", false, {Heard("old", 5, 10, UpstreamState::kReady)});
   EXPECT_EQ(ready(), 1u);
