Name the request whose answer said that an upstream leaves

Cause: the line upstream_leaving had the source, but not which answer it was. Change: the id of the request is in the line.

--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -39,7 +39,7 @@
   const UpstreamAnswer answer = gateway_.protocol().DecodeAnswer(head);
   gateway_.NoteHeard(upstream_.instance);
   if (answer.leaving && !answer.other_instance) {
-    gateway_.NoteLeaving(upstream_, "answer");
+    gateway_.NoteLeaving(upstream_, "answer", info_.id);
   }
   if (!IsOwnAnswer(answer)) {
     metrics::Count("ring_upstream_foreign_answers_total");
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -79,7 +79,7 @@
           protocol,
           [this](const ObservedCrash& crash) { OnCrash(crash); },
           [this](const UpstreamInstance& upstream) {
-            NoteLeaving(upstream, "health_check");
+            NoteLeaving(upstream, "health_check", "");
           }) {}
 
 Gateway::Impl::~Impl() = default;
@@ -324,7 +324,8 @@
 }
 
 void Gateway::Impl::NoteLeaving(const UpstreamInstance& upstream,
-                                const char* source) {
+                                const char* source,
+                                const std::string& request) {
   if (!upstreams_.Leave(upstream, loop_.now_ms())) {
     return;
   }
@@ -333,6 +334,7 @@
       .Add("upstream", upstream.instance)
       .Add("born_ms", upstream.born_ms)
       .Add("source", source)
+      .Add("request", request)
       .Add("sequence", upstream.sequence);
   pool_.CloseIdle(upstream.address);
   // All entries that use it hear of it at about the same time; one tells.
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -81,7 +81,10 @@
   int32_t CrashesOf(uint64_t digest) const;
   /// An upstream said that it leaves.
   /// @param source what it answered: a request or a health check
-  void NoteLeaving(const UpstreamInstance& upstream, const char* source);
+  /// @param request id of the request that it answered
+  void NoteLeaving(const UpstreamInstance& upstream,
+                   const char* source,
+                   const std::string& request);
   void NoteError(const std::string& instance) { health_.OnError(instance); }
   void NoteSuccess(const std::string& instance) { health_.OnSuccess(instance); }
   /// @returns false if no keeper has answered for a while
