Explain quarantined requests and upstreams that leave from the logs

Cause: ringctl explain knew neither the reason quarantined nor the lines on crashes, which lie long before the request that is refused; a line named one of several requests only.

Change: the lines on crashes have the digests of their requests; explain shows those of the request's digest whenever they were written, and upstream_leaving. Tests for answers of a health check and of another incarnation.

--- a/fakes/scripted_upstream.h
+++ b/fakes/scripted_upstream.h
@@ -64,6 +64,11 @@
     std::lock_guard lock(mutex_);
     return requests_;
   }
+  /// @param headers whole lines in the answers to health checks
+  void SetHealthHeaders(const std::string& headers) {
+    std::lock_guard lock(mutex_);
+    health_headers_ = headers;
+  }
   /// Refuses new connections from now on, as a crashed process does.
   void StopListening() {
     if (!closed_.exchange(true)) {
@@ -152,9 +157,13 @@
         break;
       }
       if (request.starts_with("GET /health ")) {
-        constexpr std::string_view kHealthy =
-            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-        send(fd, kHealthy.data(), kHealthy.size(), MSG_NOSIGNAL);
+        std::string answer = "HTTP/1.1 200 OK\r\n";
+        {
+          std::lock_guard lock(mutex_);
+          answer += health_headers_;
+        }
+        answer += "Content-Length: 0\r\n\r\n";
+        send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
         health_checks_.fetch_add(1);
         continue;
       }
@@ -199,6 +208,7 @@
   std::atomic<int> health_checks_{0};
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
+  std::string health_headers_;
   std::thread accepting_;
   std::vector<std::thread> serving_;  // Only the accepting thread adds.
 };
--- a/src/explain_explainer.cc
+++ b/src/explain_explainer.cc
@@ -18,7 +18,7 @@
 // Lines shown of each event, the latest ones.
 constexpr size_t kShownOfEvent = 6;
 
-constexpr std::array<std::string_view, 18> kBeliefEvents = {
+constexpr std::array<std::string_view, 23> kBeliefEvents = {
     "configuration_installed",
     "configuration_applied",
     "draining",
@@ -29,11 +29,16 @@
     "keepers_silent",
     "leader_changed",
     "members_changed",
+    "request_suspected",
     "started",
     "starting",
     "store_failed",
+    "suspect_cleared",
     "upstream_announced",
+    "upstream_checked",
+    "upstream_crashed",
     "upstream_departs",
+    "upstream_leaving",
     "upstream_reported",
     "upstream_silent",
     "upstream_suspected"};
@@ -44,7 +49,7 @@
   std::string_view next_step;
 };
 
-constexpr std::array<Meaning, 14> kMeanings = {{
+constexpr std::array<Meaning, 15> kMeanings = {{
     {"no_quorum", "the keepers of the ring state did not answer in time",
      "leader_changed on keepers: an election of about a second; keepers_silent "
      "or keeper_lost on this entry alone: it was cut off"},
@@ -61,6 +66,8 @@
     {"draining", "the entry was stopping", "the caller tries another entry"},
     {"deadline_passed", "the time of the request ended first",
      "begun_ms, sent_ms and head_ms of the line say where it was spent"},
+    {"quarantined", "upstreams crashed each time they ran the request",
+     "upstream_crashed lines with its digest name them and the entries"},
     {"caller_gone", "the caller closed its connection",
      "head_ms=0: the upstream had not begun to answer"},
     {"upstream_refused", "no upstream accepted the request",
@@ -131,6 +138,12 @@
   return of_ring || belief.Field("node") == end.Field("node");
 }
 
+// Lines on requests that crash upstreams hold the digests of those requests.
+bool IsOfDigest(const LogLine& line, const std::string& digest) {
+  const std::string list = "," + line.Field("digests") + ",";
+  return !digest.empty() && list.find("," + digest + ",") != std::string::npos;
+}
+
 // The latest lines of each event, so that one event does not hide the others.
 std::vector<LogLine> Latest(std::vector<LogLine> lines) {
   std::map<std::string, size_t> shown;
@@ -253,8 +266,12 @@
   const std::string& took = end->Field("took_ms");
   std::from_chars(took.data(), took.data() + took.size(), took_ms);
   for (const LogLine& line : others_) {
-    if (line.time_ms >= end->time_ms - took_ms - kBeforeMs &&
-        line.time_ms <= end->time_ms + kAfterMs && Concerns(line, *end)) {
+    const bool in_time = line.time_ms >= end->time_ms - took_ms - kBeforeMs &&
+                         line.time_ms <= end->time_ms + kAfterMs;
+    const bool matters = line.fields.contains("digests")
+                             ? IsOfDigest(line, end->Field("digest"))
+                             : in_time && Concerns(line, *end);
+    if (matters) {
       explanation.beliefs.push_back(line);
     }
   }
--- a/src/gateway_crash_watch.cc
+++ b/src/gateway_crash_watch.cc
@@ -26,6 +26,18 @@
 
 }  // namespace
 
+std::string ObservedCrash::DigestText() const {
+  constexpr size_t kMaxShown = 16;
+  std::string text;
+  size_t shown = 0;
+  for (const auto& [digest, sent_ms] : requests) {
+    if (shown++ < kMaxShown) {
+      text.append(text.empty() ? "" : ",").append(std::to_string(digest));
+    }
+  }
+  return text;
+}
+
 enum class CrashWatch::Verdict : uint8_t {
   kAlive,     ///< Answered, or at least took the connection.
   kReplaced,  ///< Another incarnation answered.
@@ -182,7 +194,7 @@
       .Add("verdict", name)
       .Add("after_ms", check->age_ms())
       .Add("requests", uint64_t{lost.requests.size()})
-      .Add("digest", lost.FirstDigest());
+      .Add("digests", lost.DigestText());
   if (verdict != Verdict::kAlive) {
     return Report(std::move(lost));
   }
--- a/src/gateway_crash_watch_p.h
+++ b/src/gateway_crash_watch_p.h
@@ -21,10 +21,8 @@
   /// sent.
   std::map<uint64_t, int64_t> requests;
 
-  /// @returns one of the requests, to follow it in the log; 0: none
-  uint64_t FirstDigest() const {
-    return requests.empty() ? 0 : requests.begin()->first;
-  }
+  /// @returns the first digests for the log, separated by commas
+  std::string DigestText() const;
   /// @returns the crash as it is reported to a board with the loop's clock
   UpstreamCrash ToReport() const {
     return {
--- a/src/gateway_crashes.cc
+++ b/src/gateway_crashes.cc
@@ -33,7 +33,7 @@
   for (const SuspectedRequest& request :
        suspects_.SetList(list->version(), requests)) {
     Event(LogLevel::kInfo, "request_suspected")
-        .Add("digest", request.digest)
+        .Add("digests", request.digest)
         .Add("crashes", int{request.crashes})
         .Add("version", list->version());
     if (suspects_.AnsweredLately(request.digest, loop_.now_ms())) {
@@ -81,7 +81,7 @@
       .Add("upstream", crash.upstream.instance)
       .Add("born_ms", crash.upstream.born_ms)
       .Add("requests", uint64_t{crash.requests.size()})
-      .Add("digest", crash.FirstDigest());
+      .Add("digests", crash.DigestText());
   if (crash.requests.empty()) {
     return;
   }
@@ -149,7 +149,7 @@
 }
 
 void Gateway::Impl::ClearSuspect(uint64_t digest) {
-  Event(LogLevel::kInfo, "suspect_cleared").Add("digest", digest);
+  Event(LogLevel::kInfo, "suspect_cleared").Add("digests", digest);
   state_->Propose(state_codec::EncodeClearSuspect(digest), kClearMs, nullptr);
 }
 
--- a/tests/explain_explainer_test.cc
+++ b/tests/explain_explainer_test.cc
@@ -43,6 +43,37 @@
   EXPECT_FALSE(ParseLogLine("no line of a process"));
 }
 
+// Guards against a refusal whose crashes happened long before.
+TEST_F(ExplainerTest, QuarantinedRequest_ShowsTheCrashesOfItsDigest) {
+  Log(100, "event=upstream_crashed upstream=i-2 requests=2 digests=7,70", "e2");
+  Log(101, "event=upstream_crashed upstream=i-3 requests=1 digests=71", "e2");
+  Log(102, "event=request_suspected digests=7 crashes=3 version=4", "e1");
+  log_ << "2026-10-19T22:55:02.000Z event=request request=r1 outcome=refused "
+          "status=503 reason=quarantined run=not_run upstream=\"\" took_ms=0 "
+          "digest=7 node=e1\n";
+  const auto explanation = Explain("r1");
+  ASSERT_TRUE(explanation);
+  ASSERT_EQ(explanation->beliefs.size(), 2u);
+  EXPECT_EQ(explanation->beliefs[0].Field("upstream"), "i-2");
+  EXPECT_EQ(explanation->beliefs[1].event, "request_suspected");
+  EXPECT_THAT(explanation->cause, HasSubstr("crashed each time"));
+  EXPECT_THAT(explanation->cause, HasSubstr("did not run"));
+}
+
+// Guards against a request sent elsewhere without a visible reason.
+TEST_F(ExplainerTest, UpstreamThatLeaves_IsShownAtItsEntry) {
+  Log(100, "event=upstream_leaving upstream=i-2 source=answer request=r0",
+      "e1");
+  Log(400,
+      "event=request request=r1 outcome=refused status=503 reason=no_upstream "
+      "run=not_run upstream=\"\" took_ms=3",
+      "e1");
+  const auto explanation = Explain("r1");
+  ASSERT_TRUE(explanation);
+  ASSERT_EQ(explanation->beliefs.size(), 1u);
+  EXPECT_EQ(explanation->beliefs[0].event, "upstream_leaving");
+}
+
 // Guards against an on-call engineer who takes an election for a cut entry.
 TEST_F(ExplainerTest, TurnRefusedInElection_ShowsLeaderAndCause) {
   Log(100, "event=leader_changed group=state term=4 leader=0", "keeper-2");
--- a/tests/gateway_leaving_test.cc
+++ b/tests/gateway_leaving_test.cc
@@ -32,9 +32,9 @@
   }
   void ServeTools(const Answer& first) { Serve(false, 2, first); }
 
-  /// Sends more requests at once than the others would get if all were equal,
-  /// and expects that the others answer them.
-  void ExpectServedByOthers(const std::string& path = "/order/1") {
+  /// Sends more requests at once than the others would get if all were equal.
+  /// @returns how many of them reached the upstream that leaves
+  size_t SendMany(const std::string& path = "/order/1") {
     // The pause after a failure (300 ms) keeps requests away as well.
     std::this_thread::sleep_for(std::chrono::milliseconds(400));
     const size_t before = upstreams_[leaving_]->requests().size();
@@ -48,7 +48,10 @@
     for (std::thread& caller : callers) {
       caller.join();
     }
-    EXPECT_EQ(upstreams_[leaving_]->requests().size(), before);
+    return upstreams_[leaving_]->requests().size() - before;
+  }
+  void ExpectServedByOthers(const std::string& path = "/order/1") {
+    EXPECT_EQ(SendMany(path), 0u);
   }
   CallerAnswer SendFirst(const std::string& path = "/order/1") {
     return Post(path, "Request-Id: first", "x");
@@ -120,6 +123,28 @@
   close(fd);
 }
 
+// Guards against a health check of which only the status is read.
+TEST_F(GatewayLeavingTest, AnswerToAHealthCheck_SendsNewWorkElsewhere) {
+  ServeTools([](const std::string&) {
+    return ScriptedReply{{}, Then::kReset};
+  });
+  for (const auto& upstream : upstreams_) {
+    upstream->SetHealthHeaders(kLeaving);
+  }
+  EXPECT_EQ(SendFirst().status(), 502);
+  ExpectServedByOthers();
+  EXPECT_EQ(upstreams_[leaving_]->health_checks(), 1);
+}
+
+// Guards against an upstream whose address another one has by now.
+TEST_F(GatewayLeavingTest, AnswerOfAnotherIncarnation_ChangesNothing) {
+  ServeTools([](const std::string& request) {
+    return ScriptedReply{{Whole(421, request, "", kLeaving)}};
+  });
+  SendFirst();
+  EXPECT_GT(SendMany(), 0u);
+}
+
 // Guards against an answer to an earlier request that is only skipped.
 TEST_F(GatewayLeavingTest, LateAnswerToAnotherRequest_SendsNewWorkElsewhere) {
   ServeTools([](const std::string& request) {
@@ -146,11 +171,7 @@
     return ScriptedReply{{Whole(200, request, "ok", "Server-Leaving: 0\r\n")}};
   });
   SendFirst();
-  const size_t before = upstreams_[leaving_]->requests().size();
-  for (int i = 0; i < 20; ++i) {
-    Post("/order/1", "Request-Id: a" + std::to_string(i), "x");
-  }
-  EXPECT_GT(upstreams_[leaving_]->requests().size(), before);
+  EXPECT_GT(SendMany(), 0u);
 }
 
 // Guards against an entry that learns of departures from keepers only.
