Bound the cost of a list of suspects; keep repeats of one entry in order

Ruled out: a slack on the times, which would count copies of a read that were under way together.

Change: one pass for the list; a crash without requests is forgotten unless it is explained; only checks of the request are looked at; Expire from the timer; an entry marks what it knows to be a repeat; old commands and fields keep their numbers and are ignored.

--- a/src/gateway_crash_watch.cc
+++ b/src/gateway_crash_watch.cc
@@ -198,12 +198,6 @@
   if (verdict != Verdict::kAlive) {
     return Report(std::move(lost));
   }
-  std::erase_if(unexplained_, [this](const ObservedCrash& earlier) {
-    return earlier.at_ms + kRestartMs < loop_.now_ms();
-  });
-  std::erase_if(heard_ms_, [this](const auto& item) {
-    return item.second + kRestartMs < loop_.now_ms();
-  });
   if (unexplained_.size() < kMaxUnexplained) {
     unexplained_.push_back(std::move(lost));
   }
@@ -237,34 +231,46 @@
   }
 }
 
-// Signs of one crash may follow each other until the upstream is back; all are
-// reported with the time of the first.
+// Until the upstream is back, each request that is sent there shows its crash
+// again; all are reported with the time of the first.
 void CrashWatch::Report(ObservedCrash crash) {
-  std::erase_if(crashes_, [this](const auto& item) {
-    return item.second.first + kRestartMs < loop_.now_ms();
-  });
-  auto& [last_ms, known] = crashes_[crash.upstream.instance];
-  if (known.upstream.born_ms == crash.upstream.born_ms &&
-      crash.at_ms - last_ms <= kSameCrashMs) {
-    last_ms = crash.at_ms;
+  auto& [last_sign_ms, known] = crashes_[crash.upstream.instance];
+  const bool same = known.upstream.born_ms == crash.upstream.born_ms &&
+                    crash.at_ms - last_sign_ms <= kSameCrashMs;
+  last_sign_ms = crash.at_ms;
+  if (same) {
     crash.at_ms = known.at_ms;
   } else {
-    last_ms = crash.at_ms;
     known = crash;
   }
   crashed_(crash);
 }
 
-std::vector<ObservedCrash> CrashWatch::open() const {
-  std::vector<ObservedCrash> crashes;
+std::vector<UpstreamCrash> CrashWatch::open(uint64_t digest) const {
+  std::vector<UpstreamCrash> crashes;
   for (const auto& [instance, check] : checks_) {
-    crashes.push_back(check->lost());
+    if (check->lost().requests.contains(digest)) {
+      crashes.push_back(check->lost().ToReport());
+    }
   }
   std::sort(crashes.begin(), crashes.end(),
-            [](const ObservedCrash& a, const ObservedCrash& b) {
+            [](const UpstreamCrash& a, const UpstreamCrash& b) {
               return a.at_ms < b.at_ms;
             });
   return crashes;
 }
 
+void CrashWatch::Expire() {
+  const int64_t now_ms = loop_.now_ms();
+  std::erase_if(unexplained_, [now_ms](const ObservedCrash& earlier) {
+    return earlier.at_ms + kRestartMs < now_ms;
+  });
+  std::erase_if(heard_ms_, [now_ms](const auto& item) {
+    return item.second + kRestartMs < now_ms;
+  });
+  std::erase_if(crashes_, [now_ms](const auto& item) {
+    return item.second.last_sign_ms + kRestartMs < now_ms;
+  });
+}
+
 }  // namespace ring
--- a/src/gateway_crash_watch_p.h
+++ b/src/gateway_crash_watch_p.h
@@ -40,7 +40,6 @@
 class CrashWatch {
  public:
   using Crashed = std::function<void(const ObservedCrash& crash)>;
-
   using Leaving = std::function<void(const UpstreamInstance& upstream)>;
 
   /// @param leaving told of upstreams that say so in a health check
@@ -74,8 +73,12 @@
   }
   /// An upstream has been reported for the first time or again.
   void OnReported(const UpstreamInstance& upstream);
-  /// @returns crashes that are not confirmed, in the order of their times
-  std::vector<ObservedCrash> open() const;
+  /// @returns possible crashes with the request that are being looked at, in
+  /// the
+  ///          order of their times
+  std::vector<UpstreamCrash> open(uint64_t digest) const;
+  /// Forgets what no later event can refer to.
+  void Expire();
 
  private:
   class Check;
@@ -86,6 +89,10 @@
     int64_t since_ms = 0;
     std::map<uint64_t, int64_t> requests;
   };
+  struct KnownCrash {
+    int64_t last_sign_ms = 0;
+    ObservedCrash crash;
+  };
   enum class Verdict : uint8_t;
   void End(const std::string& instance, Verdict verdict);
   void Report(ObservedCrash crash);
@@ -105,8 +112,7 @@
   std::unordered_map<std::string, int64_t> heard_ms_;     ///< By instance.
   /// Lost connections to upstreams that were there after all, for a while.
   std::vector<ObservedCrash> unexplained_;
-  /// Last sign of each crash, and the crash, by instance.
-  std::map<std::string, std::pair<int64_t, ObservedCrash>> crashes_;
+  std::map<std::string, KnownCrash> crashes_;  ///< By instance.
 };
 
 }  // namespace ring
--- a/src/gateway_crashes.cc
+++ b/src/gateway_crashes.cc
@@ -64,10 +64,7 @@
 }
 
 int32_t Gateway::Impl::CrashesOf(uint64_t digest) const {
-  std::vector<UpstreamCrash> open;
-  for (const ObservedCrash& crash : crash_watch_.open()) {
-    open.push_back(crash.ToReport());
-  }
+  const std::vector<UpstreamCrash> open = crash_watch_.open(digest);
   return open.empty() && suspects_.empty() ? 0
                                            : suspects_.crashes(digest, open);
 }
@@ -76,6 +73,13 @@
   std::erase_if(crash.requests, [this](const auto& item) {
     return suspects_.AnsweredLately(item.first, loop_.now_ms());
   });
+  // Reports of one entry are late by different times. What it knows to be a
+  // repeat must not look as if it had been sent before the crash.
+  for (auto& [digest, sent_ms] : crash.requests) {
+    if (suspects_.IsRepeat(digest, sent_ms)) {
+      sent_ms = crash.at_ms;
+    }
+  }
   metrics::Count("ring_upstream_crashes_total");
   Event(LogLevel::kWarn, "upstream_crashed")
       .Add("upstream", crash.upstream.instance)
@@ -112,7 +116,7 @@
   reporting_crashes_ = true;
   fb::ReportCrashesT report;
   for (const ObservedCrash& crash : unconfirmed_) {
-    auto row = std::make_unique<fb::ReportedCrashT>();
+    auto row = std::make_unique<fb::ReportCrashT>();
     row->upstream = crash.upstream.instance;
     row->born_ms = crash.upstream.born_ms;
     for (const auto& [digest, sent_ms] : crash.requests) {
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -103,6 +103,7 @@
   loop_.Every(kPruneMs, [this] {
     upstreams_.Prune(loop_.now_ms());
     suspects_.Expire(loop_.now_ms());
+    crash_watch_.Expire();
   });
   loop_.Every(kGaugesMs, [this] { SetGauges(); });
   return Done{};
--- a/src/gateway_suspects.cc
+++ b/src/gateway_suspects.cc
@@ -60,6 +60,14 @@
   return found != answered_.end() && now_ms - found->second <= kAnsweredMs;
 }
 
+bool SuspectTable::IsRepeat(uint64_t digest, int64_t sent_ms) const {
+  const std::vector<UpstreamCrash>& recent = own_.recent();
+  return std::any_of(
+      recent.begin(), recent.end(), [&](const UpstreamCrash& crash) {
+        return crash.at_ms <= sent_ms && crash.requests.contains(digest);
+      });
+}
+
 void SuspectTable::Expire(int64_t now_ms) {
   own_.Expire(now_ms);
 }
--- a/src/gateway_suspects_p.h
+++ b/src/gateway_suspects_p.h
@@ -23,6 +23,9 @@
       uint64_t version,
       const std::vector<SuspectedRequest>& requests);
   void OnCrash(const UpstreamCrash& crash) { own_.Report(crash); }
+  /// @returns true if this entry sent the request after it had seen it crash an
+  ///          upstream
+  bool IsRepeat(uint64_t digest, int64_t sent_ms) const;
   /// A request was answered with success.
   /// @returns true if the keepers suspect it
   bool OnSuccess(uint64_t digest, int64_t now_ms);
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -15,7 +15,7 @@
   return departure.instance + "/" + std::to_string(departure.born_ms);
 }
 
-UpstreamCrash ToCrash(const fb::ReportedCrash& row, int64_t now_ms) {
+UpstreamCrash ToCrash(const fb::ReportCrash& row, int64_t now_ms) {
   UpstreamCrash crash;
   crash.upstream = UpstreamKey(TextFrom(row.upstream()) + "/" +
                                std::to_string(row.born_ms()));
@@ -76,6 +76,8 @@
       return Result(fb::StateCode::Done);
     case fb::StateCommandBody::RegisterUpstream:
       return Register(*command.body_as_RegisterUpstream());
+    case fb::StateCommandBody::ReportCrash:
+      return Result(fb::StateCode::Done);
     case fb::StateCommandBody::ReportCrashes:
       return ReportCrashes(*command.body_as_ReportCrashes());
     case fb::StateCommandBody::ClearSuspect:
@@ -261,7 +263,7 @@
 fb::StateResultT RingStateMachine::Impl::ReportCrashes(
     const fb::ReportCrashes& command) {
   if (command.crashes() != nullptr) {
-    for (const fb::ReportedCrash* row : *command.crashes()) {
+    for (const fb::ReportCrash* row : *command.crashes()) {
       suspects_.Report(ToCrash(*row, now_ms_));
     }
   }
--- a/src/state_snapshot.cc
+++ b/src/state_snapshot.cc
@@ -131,8 +131,8 @@
         std::make_unique<fb::RegisterUpstreamT>(registration.value));
   }
   head.retired.assign(retired_.begin(), retired_.end());
-  head.suspects = std::make_unique<fb::SuspectBoardRecordT>();
-  head.suspects->version = suspects_version_;
+  head.suspect_board = std::make_unique<fb::SuspectBoardRecordT>();
+  head.suspect_board->version = suspects_version_;
   for (const UpstreamCrash& crash : suspects_.recent()) {
     auto row = std::make_unique<fb::CrashRecordT>();
     row->upstream = crash.upstream;
@@ -140,13 +140,13 @@
     for (const auto& [digest, sent_ms] : crash.requests) {
       row->requests.emplace_back(digest, sent_ms);
     }
-    head.suspects->crashes.push_back(std::move(row));
+    head.suspect_board->crashes.push_back(std::move(row));
   }
   for (const auto& [digest, since_ms] : suspects_.quarantined()) {
     auto row = std::make_unique<fb::QuarantineRecordT>();
     row->digest = digest;
     row->since_ms = since_ms;
-    head.suspects->quarantined.push_back(std::move(row));
+    head.suspect_board->quarantined.push_back(std::move(row));
   }
   return head;
 }
@@ -359,8 +359,8 @@
     registrations_[row->instance] = {*row, 0};
   }
   retired_.insert(head.retired.begin(), head.retired.end());
-  if (head.suspects) {
-    LoadSuspects(*head.suspects);
+  if (head.suspect_board) {
+    LoadSuspects(*head.suspect_board);
   }
 }
 
--- a/src/state_suspects.cc
+++ b/src/state_suspects.cc
@@ -23,6 +23,19 @@
          std::abs(a.at_ms - b.at_ms) <= kSameCrashMs;
 }
 
+// Crashes of one request that follow each other.
+struct Count {
+  int32_t crashes = 0;
+  int64_t last_ms = INT64_MIN;
+
+  void Add(int64_t at_ms, int64_t sent_ms) {
+    if (sent_ms >= last_ms) {
+      last_ms = at_ms;
+      ++crashes;
+    }
+  }
+};
+
 }  // namespace
 
 void SuspectBoard::Report(const UpstreamCrash& report) {
@@ -78,9 +91,11 @@
 
 bool SuspectBoard::Clear(uint64_t digest) {
   bool changed = quarantined_.erase(digest) > 0;
-  for (UpstreamCrash& crash : crashes_) {
-    changed = crash.requests.erase(digest) > 0 || changed;
-  }
+  std::erase_if(crashes_, [&](UpstreamCrash& crash) {
+    const bool had = crash.requests.erase(digest) > 0;
+    changed = changed || had;
+    return had && crash.requests.empty();
+  });
   return changed;
 }
 
@@ -98,34 +113,32 @@
   if (quarantined_.contains(digest)) {
     return kCrashesToQuarantine;
   }
-  int32_t count = 0;
-  int64_t last_ms = INT64_MIN;
+  Count count;
   const auto add = [&](const UpstreamCrash& crash) {
     const auto request = crash.requests.find(digest);
-    if (request != crash.requests.end() && request->second >= last_ms) {
-      last_ms = crash.at_ms;
-      ++count;
+    if (request != crash.requests.end()) {
+      count.Add(crash.at_ms, request->second);
     }
   };
   std::for_each(crashes_.begin(), crashes_.end(), add);
   std::for_each(open.begin(), open.end(), add);
-  return count;
+  return count.crashes;
 }
 
 std::vector<SuspectedRequest> SuspectBoard::List() const {
-  std::set<uint64_t> digests;
+  std::map<uint64_t, Count> counts;
   for (const UpstreamCrash& crash : crashes_) {
     for (const auto& [digest, sent_ms] : crash.requests) {
-      digests.insert(digest);
+      counts[digest].Add(crash.at_ms, sent_ms);
     }
   }
   for (const auto& [digest, since_ms] : quarantined_) {
-    digests.insert(digest);
+    counts[digest].crashes = kCrashesToQuarantine;
   }
   std::vector<SuspectedRequest> list;
-  for (const uint64_t digest : digests) {
-    if (const int32_t count = crashes(digest); count > 1) {
-      list.push_back({digest, count});
+  for (const auto& [digest, count] : counts) {
+    if (count.crashes > 1) {
+      list.push_back({digest, count.crashes});
     }
   }
   return list;
--- a/tests/gateway_suspects_test.cc
+++ b/tests/gateway_suspects_test.cc
@@ -66,6 +66,16 @@
   EXPECT_EQ(table_.crashes(kKiller, {{9, now_ms_, {{1, now_ms_}}}}), 2);
 }
 
+// Guards against a repeat that is taken for a copy sent before the crash.
+TEST_F(SuspectTableTest, RequestSentAfterItsCrash_IsARepeat) {
+  Crash(kKiller);
+  EXPECT_FALSE(table_.IsRepeat(kKiller, now_ms_ - 1));
+  EXPECT_TRUE(table_.IsRepeat(kKiller, now_ms_));
+  EXPECT_FALSE(table_.IsRepeat(1, now_ms_));
+  table_.OnSuccess(kKiller, now_ms_);
+  EXPECT_FALSE(table_.IsRepeat(kKiller, now_ms_));
+}
+
 TEST_F(SuspectTableTest, Success_IsToldToKeepersIfTheySuspectTheRequest) {
   EXPECT_FALSE(table_.OnSuccess(kKiller, now_ms_));
   table_.SetList(1, {{kKiller, 2}});
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -348,7 +348,7 @@
 std::string CrashOf(const std::string& upstream,
                     uint64_t digest,
                     int32_t age_ms = 0) {
-  auto crash = std::make_unique<fb::ReportedCrashT>();
+  auto crash = std::make_unique<fb::ReportCrashT>();
   crash->upstream = upstream;
   crash->born_ms = 1;
   crash->requests.emplace_back(digest, 0);
--- a/tests/state_suspects_test.cc
+++ b/tests/state_suspects_test.cc
@@ -89,6 +89,33 @@
   EXPECT_FALSE(board_.Clear(99));
 }
 
+// Guards against a crash that counts for nobody once one of its requests has
+// been answered.
+TEST_F(SuspectBoardTest, CrashWhoseRequestsWereAnswered_StillTakesReports) {
+  Crash({1});
+  board_.Clear(1);
+  board_.Report({upstream_, now_ms_ + 100, SentAt(now_ms_, {kKiller})});
+  EXPECT_EQ(board_.crashes(kKiller), 1);
+}
+
+// Guards against a log that stands still while a domain crashes.
+TEST_F(SuspectBoardTest, ManyRequestsOfManyCrashes_AreListedInTime) {
+  constexpr uint64_t kRequests = 60;
+  for (uint64_t i = 0; i < 256; ++i) {
+    std::set<uint64_t> digests;
+    for (uint64_t j = 0; j < kRequests; ++j) {
+      digests.insert(100 + i * kRequests + j);
+    }
+    Crash(digests);
+  }
+  const int64_t start_ms = SystemClock().NowMs();
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_TRUE(board_.List().empty());
+  }
+  // One list must cost less than an election is late by (50 ms).
+  EXPECT_LT(SystemClock().NowMs() - start_ms, 10 * 50);
+}
+
 // Guards against memory that grows with every crash, and against a known
 // request that is forgotten because others crash later.
 TEST_F(SuspectBoardTest, ManyCrashes_AreBoundedAndKeepWhatIsQuarantined) {
