Name the shortest time between crashes of one upstream once

Cause: the board and the watch had a constant of the same meaning each. Change: it stands in state.h. No change of behaviour.

--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -103,6 +103,10 @@
 /// A request that crashed this many upstreams is run no more.
 constexpr int32_t kCrashesToQuarantine = 3;
 
+/// A crashed upstream is not back sooner than this; signs or reports that lie
+/// closer together are of one crash.
+constexpr int64_t kSameCrashMs = 1'000;
+
 /// An upstream that crashed and the requests that were under way there.
 struct UpstreamCrash {
   uint32_t upstream = 0;  ///< UpstreamKey of the incarnation.
--- a/src/gateway_crash_watch.cc
+++ b/src/gateway_crash_watch.cc
@@ -12,9 +12,6 @@
 constexpr size_t kMaxChecks = 256;
 // A process that has started again announces itself within this time.
 constexpr int64_t kRestartMs = 10'000;
-// A crashed process is not back sooner; signs that follow each other faster
-// are of one crash.
-constexpr int64_t kSameCrashMs = 1'000;
 constexpr size_t kMaxUnexplained = 256;
 // An upstream that says nothing for this time may have ended; longer than the
 // pauses between events that callers accept (200 ms).
--- a/src/state_suspects.cc
+++ b/src/state_suspects.cc
@@ -5,9 +5,6 @@
 namespace ring {
 namespace {
 
-// A crashed upstream needs longer than this to be back and to crash again;
-// reports that lie closer together are about one crash.
-constexpr int64_t kSameCrashMs = 1'000;
 // Repeats of a request follow each other within seconds; a crash that long ago
 // says nothing about a request that is sent now.
 constexpr int64_t kForgetCrashMs = 600'000;
