--- a/tests/gateway_leaving_test.cc
+++ b/tests/gateway_leaving_test.cc
@@ -22,7 +22,7 @@
           leaving_ = i;
           return first(request);
         }
-        return request.starts_with("POST /talk")
+        return request.starts_with("POST /t")
                    ? Events(request, {"a"})
                    : ScriptedReply{{Whole(200, request, "ok")}};
       };
@@ -124,6 +124,27 @@
   close(fd);
 }
 
+// Guards against a turn that follows its chain to an upstream that leaves.
+TEST_F(GatewayLeavingTest, TurnWhoseChainLiesThere_RunsElsewhere) {
+  Serve(true, 3, [](const std::string& request) {
+    ScriptedReply reply = Events(request, {"a"});
+    reply.pieces[0].insert(reply.pieces[0].find("\r\n") + 2, kLeaving);
+    return reply;
+  });
+  const std::string usage = ", Program-Id: p, Token-Usage: 4000,80";
+  EXPECT_EQ(Post("/turn/1", "Request-Id: t0" + usage, "x").status(), 200);
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "t" + std::to_string(i + 1);
+    EXPECT_EQ(Post("/turn/1",
+                   "Request-Id: " + id + ", Previous-Turn: t" +
+                       std::to_string(i) + usage,
+                   "x")
+                  .status(),
+              200);
+  }
+  EXPECT_EQ(upstreams_[leaving_]->requests().size(), 1u);
+}
+
 // Guards against a health check of which only the status is read.
 TEST_F(GatewayLeavingTest, AnswerToAHealthCheck_SendsNewWorkElsewhere) {
   ServeTools([](const std::string&) {
