--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -22,7 +22,7 @@
 constexpr int64_t kPatienceShare = 3;
 // Another entry can take the request at once.
 constexpr int64_t kDrainRetryAfterMs = 20;
-// A quarantined request may run again once nobody has sent it for a while.
+// As long as the state group keeps a request quarantined.
 constexpr int64_t kQuarantineRetryAfterMs = 3'600'000;
 constexpr int64_t kMsPerSecond = 1'000;
 
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -14,7 +14,7 @@
 constexpr int64_t kStartMs = 6'000;
 constexpr int64_t kDrainCheckMs = 50;
 // Entries tell keepers of a leaving upstream at random within this time, which
-// is some times what a departure needs to reach them all.
+// is several times what a departure needs to reach them all.
 constexpr int64_t kTellLeavingMs = 300;
 constexpr int64_t kTellLeavingForMs = 5'000;
 // Sessions and parts of prompts, about 100 bytes each: the turns of the last
