Test that crash reports of the version before are read and ignored

Cause: the form of the command changed; a log on a keeper's disk may hold old ones, and no test played one. Change: a test that builds the old command by its field numbers.

--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -400,6 +400,38 @@
   EXPECT_EQ(recorder.suspects, (std::vector<SuspectedRequest>{{7, 2}}));
 }
 
+// Guards against a log of the version before, which reported each crash by
+// digests alone.
+TEST(RingStateSuspects, ReportOfAnEarlierVersion_IsReadAndIgnored) {
+  constexpr flatbuffers::voffset_t kFields[] = {4, 6, 8};
+  flatbuffers::FlatBufferBuilder builder;
+  const auto upstream = builder.CreateString("i-1");
+  const auto digests = builder.CreateVector(std::vector<uint64_t>{7});
+  const auto crash_start = builder.StartTable();
+  builder.AddOffset(kFields[0], upstream);
+  builder.AddElement<int64_t>(kFields[1], 1, 0);
+  builder.AddOffset(kFields[2], digests);
+  const flatbuffers::Offset<void> crash(builder.EndTable(crash_start));
+  const auto start = builder.StartTable();
+  builder.AddElement<uint8_t>(
+      kFields[0], static_cast<uint8_t>(fb::StateCommandBody::ReportCrash), 0);
+  builder.AddOffset(kFields[1], crash);
+  builder.Finish(
+      flatbuffers::Offset<fb::StateCommand>(builder.EndTable(start)));
+  Recorder recorder;
+  RingStateMachine machine({}, &recorder);
+  const std::string command(
+      reinterpret_cast<const char*>(builder.GetBufferPointer()),
+      builder.GetSize());
+  for (int64_t i = 1; i <= kCrashesToQuarantine; ++i) {
+    const auto result = state_codec::DecodeResult(
+        machine.Apply(static_cast<uint64_t>(i), i, command));
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->code, fb::StateCode::Done);
+  }
+  EXPECT_EQ(recorder.suspects_version, 0u);
+}
+
 // Guards against entries that are told the same list at each command.
 TEST(RingStateSuspects, CrashThatChangesNoList_IsNotTold) {
   Recorder recorder;
