Elect a leader as soon as a restarting group has a majority connected

Cause: after the loss of all processes, keepers waited for an election timeout of 150 to 300 ms, counted in ticks of 50 ms, although a majority was connected and nobody could lead.

Change: a replica that has not heard a leader since its start campaigns at the next tick after a majority of the voters has become reachable; voters take turns by id, because simultaneous candidates split the votes. A live leader is not deposed: pre-votes are refused while its followers hear it.

Ruled out: shorter random timeouts alone, which split votes among three voters that start within 0.1 s of each other.

--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -447,7 +447,8 @@
   void Tick(int64_t now_ms);
   /// Reports that another replica has become reachable. A candidate repeats a
   /// vote request that may have been lost, instead of waiting for its next
-  /// election.
+  /// election. A replica that has not heard a leader since its start campaigns
+  /// soon after a majority of the voters has become reachable.
   void OnReachable(ReplicaId peer);
   /// Handles a message from another replica.
   void Step(const RaftMessage& message, int64_t now_ms);
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -24,7 +24,7 @@
 constexpr size_t kSnapshotChunkBytes = 512u << 10;
 
 // A member that was heard from within this many ticks counts as replicating.
-constexpr int64_t kReplicatingWithinTicks = 20;
+constexpr int64_t kReplicatingWithinTicks = 50;
 
 void LogUnreadableSnapshot(const std::string& group, const Refusal& refusal) {
   Event(LogLevel::kError, "snapshot_unreadable")
--- a/src/log_replica_election.cc
+++ b/src/log_replica_election.cc
@@ -101,6 +101,30 @@
       member != nullptr && member->voter && !votes_.contains(peer)) {
     RequestVote(peer, false);
   }
+  if (!heard_leader_ && init_.first_election_ticks > 0) {
+    reachable_.insert(peer);
+    CampaignSoon();
+  }
+}
+
+// After a restart of the whole group nobody leads, so waiting for a leader is
+// pointless once a majority is up. Voters campaign one after the other in the
+// order of their ids, because simultaneous candidates split the votes.
+void Replica::Impl::CampaignSoon() {
+  size_t up = 0;
+  int64_t lower = 0;
+  for (const Member& member : log_.config().members) {
+    if (member.voter &&
+        (member.id == init_.id || reachable_.contains(member.id))) {
+      ++up;
+      lower += member.id < init_.id ? 1 : 0;
+    }
+  }
+  if (role_ == ReplicaRole::kFollower && IsVoter() && up >= Quorum()) {
+    election_timeout_ =
+        std::min(election_timeout_,
+                 election_elapsed_ + 1 + lower * init_.first_election_ticks);
+  }
 }
 
 void Replica::Impl::CountVotes(int64_t now_ms) {
--- a/src/log_replica_p.h
+++ b/src/log_replica_p.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "log_raft_log_p.h"
@@ -78,6 +79,7 @@
   void BecomeLeader(int64_t now_ms);
   void Campaign(ReplicaRole role, bool forced, int64_t now_ms);
   void RequestVote(ReplicaId voter, bool forced);
+  void CampaignSoon();
   void CountVotes(int64_t now_ms);
   bool CheckTerm(const RaftMessage& message);
   void RejectOldTerm(const RaftMessage& message);
@@ -137,6 +139,7 @@
   int64_t election_elapsed_ = 0;  // Ticks since the election timer was reset.
   int64_t election_timeout_ = 0;  // Election timeout in ticks, randomized.
   bool heard_leader_ = false;     // Since this replica started.
+  std::set<ReplicaId> reachable_;  // Peers that became reachable until then.
   int64_t heartbeat_elapsed_ = 0;
   std::map<ReplicaId, bool> votes_;
   std::map<ReplicaId, Progress> progress_;
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -355,5 +355,34 @@
   EXPECT_EQ(ready.messages[0].kind, RaftKind::kPreVote);
 }
 
+// Guards against a restart of the whole group that waits for an election
+// timeout although a majority of the voters is connected.
+TEST(ReplicaFirstElection, MajorityReachable_LowestIdCampaignsAtTheNextTick) {
+  DurableState state;
+  state.snapshot.index = 1;
+  state.snapshot.term = 1;
+  state.snapshot.config.members = {
+      {1, "a", true}, {2, "b", true}, {3, "c", true}};
+  state.hard_state.term = 1;
+  state.start_index = 1;
+  state.start_term = 1;
+  const auto ticks_until_campaign = [&state](ReplicaId id, ReplicaId peer) {
+    Replica replica(
+        {.id = id, .election_ticks = 300, .first_election_ticks = 100},
+        state);
+    replica.OnReachable(peer);
+    int ticks = 0;
+    while (!replica.HasReady()) {
+      replica.Tick(1'000);
+      ++ticks;
+    }
+    return ticks;
+  };
+  EXPECT_EQ(ticks_until_campaign(1, 2), 1);
+  EXPECT_EQ(ticks_until_campaign(2, 3), 1);
+  // Leaves the reachable voter with the lower id time to win.
+  EXPECT_EQ(ticks_until_campaign(2, 1), 101);
+}
+
 }  // namespace
 }  // namespace ring
