Time elections out by the pauses that followers observe

Cause: a follower waited 0.6 to 1.2 s for its leader wherever it ran, and an entry up to 0.5 s more for the reply of a leader that no longer answered.

Change: a follower waits three times the longest recent pause between messages of its leader (forgotten within about 10 s), at least 200 ms and at most 600 ms, randomized over [n, 2n]; until it has heard two messages 600 ms. Heartbeats come every 60 ms. A keeper that becomes the leader tells the entries connected to it (LeaderNotice), which send it the calls that wait elsewhere; commands are idempotent. What a follower has learned is in leader_changed (election_timeout_ms) and ring_log_election_timeout_ms.

Ruled out: a shorter fixed timeout, which would elect over and over on slow or starved VMs. A pause longer than all recent ones may cause one pre-vote, which the other followers refuse while they hear the leader.

--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -53,6 +53,7 @@
   int64_t tick_ms = 50;                     ///< Raft tick, ms.
   int32_t heartbeat_ticks = 2;
   int32_t election_ticks = 20;       ///< Randomized over [n, 2n].
+  int32_t min_election_ticks = 0;    ///< See Replica::Init.
   int32_t first_election_ticks = 0;  ///< See Replica::Init.
   /// Maximum size of the log entries in one append message, bytes.
   size_t max_append_bytes = 1u << 20;
@@ -310,6 +311,9 @@
                const std::string& node,
                uint64_t correlation,
                const std::string& payload);
+  /// The keeper has become the leader: calls that wait for another one are
+  /// sent to it at once.
+  void OnLeader(SessionHandle session);
   /// @returns false if no keeper is connected, or if a call failed because no
   ///          keeper was heard from for `unreachable_after_ms`, until one is
   ///          heard again
--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -398,6 +398,7 @@
   uint64_t applied_index = 0;
   uint64_t last_index = 0;
   uint64_t snapshot_index = 0;
+  int64_t election_ticks = 0;  ///< Election timeout in force.
   std::vector<MemberProgress> members;
 
   auto operator<=>(const ReplicaStatus&) const = default;
@@ -418,7 +419,13 @@
   struct Init {
     ReplicaId id = 0;
     int32_t heartbeat_ticks = 2;
-    int32_t election_ticks = 20;  ///< Randomized over [n, 2n].
+    /// Election timeout, randomized over [n, 2n]. The longest one if
+    /// min_election_ticks is set.
+    int32_t election_ticks = 20;
+    /// Shortest election timeout; 0: always election_ticks. In between, a
+    /// follower waits a multiple of the longest recent pause between messages
+    /// of its leader.
+    int32_t min_election_ticks = 0;
     /// Replaces election_ticks until the replica first hears a leader after its
     /// start; 0: election_ticks applies at once. May be short, because there is
     /// no leader to wait for when all replicas have just started.
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -179,6 +179,8 @@
       return OnKeeperList(frame.payload);
     case FrameKind::SuspectList:
       return OnSuspectList(frame.payload);
+    case FrameKind::LeaderNotice:
+      return state_->OnLeader(session);
     default:
       return;
   }
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -103,6 +103,7 @@
   replica.id = init_.identity.replica;
   replica.heartbeat_ticks = init_.heartbeat_ticks;
   replica.election_ticks = init_.election_ticks;
+  replica.min_election_ticks = init_.min_election_ticks;
   replica.seed = init_.seed;
   replica.promote_learners = !init_.automatic_membership;
   replica.first_election_ticks = init_.first_election_ticks;
@@ -219,6 +220,9 @@
     next_housekeeping_ms_ = now_ms + kHousekeepingIntervalMs;
     ProposeExpiry(clock_.WallMs());
     ForwardVersions();
+    metrics::SetGauge("ring_log_election_timeout_ms", {{"group", name()}},
+                      static_cast<double>(replica_->status().election_ticks *
+                                          init_.tick_ms));
   }
 }
 
@@ -400,7 +404,11 @@
       .Add("group", name())
       .Add("term", status.term)
       .Add("leader", status.leader)
-      .Add("role", ToString(status.role));
+      .Add("role", ToString(status.role))
+      .Add("election_timeout_ms", status.election_ticks * init_.tick_ms);
+  if (leads_) {
+    transport_.SendToEntries({.kind = FrameKind::LeaderNotice, .group = name()});
+  }
 }
 
 // An applied entry of the current leader's term implies that all entries that
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -69,6 +69,7 @@
     int64_t tick_ms = 50;
     int32_t heartbeat_ticks = 2;
     int32_t election_ticks = 20;
+    int32_t min_election_ticks = 0;
     int32_t first_election_ticks = 0;
     size_t max_append_bytes = 1u << 20;
     size_t max_inflight_appends = 64;
--- a/src/keeper_host.cc
+++ b/src/keeper_host.cc
@@ -95,6 +95,7 @@
     group.tick_ms = init_.tick_ms;
     group.heartbeat_ticks = init_.heartbeat_ticks;
     group.election_ticks = init_.election_ticks;
+    group.min_election_ticks = init_.min_election_ticks;
     group.first_election_ticks = init_.first_election_ticks;
     group.max_append_bytes = init_.max_append_bytes;
     group.max_inflight_appends = init_.max_inflight_appends;
--- a/src/keeper_state_client.cc
+++ b/src/keeper_state_client.cc
@@ -107,6 +107,22 @@
     RetryAfter(call, call->refusals % round == 0 ? init_.round_pause_ms : 0);
   }
 
+  void OnLeader(SessionHandle session) {
+    OnKeeperHeard();
+    if (!keepers_.contains(session)) {
+      return;
+    }
+    leader_ = session;
+    for (const CallPtr& call : std::vector<CallPtr>(calls_)) {
+      const bool waiting = call->retry_at_ms > 0;
+      if (!IsValid(call->required_session) &&
+          (waiting || call->session != session)) {
+        call->may_take_effect = call->may_take_effect || !waiting;
+        Attempt(call);
+      }
+    }
+  }
+
   size_t keepers() const { return keepers_.size(); }
   bool reachable() const { return !keepers_.empty() && !unreachable_; }
 
@@ -291,6 +307,10 @@
   impl_->OnReply(session, node, correlation, payload);
 }
 
+void StateClient::OnLeader(SessionHandle session) {
+  impl_->OnLeader(session);
+}
+
 size_t StateClient::keepers() const {
   return impl_->keepers();
 }
--- a/src/log_replica.cc
+++ b/src/log_replica.cc
@@ -135,6 +135,7 @@
   status.applied_index = applied_index_;
   status.last_index = log_.last_index();
   status.snapshot_index = log_.snapshot().index;
+  status.election_ticks = ElectionTicks();
   for (const Member& member : log_.config().members) {
     MemberProgress row;
     row.member = member;
--- a/src/log_replica_election.cc
+++ b/src/log_replica_election.cc
@@ -9,6 +9,13 @@
 // vote although it hears a leader.
 constexpr uint64_t kForcedVote = 1;
 
+// A follower waits this many of the longest recent pauses between messages of
+// its leader, so that one or two lost heartbeats do not start an election.
+constexpr int64_t kPausesToElection = 3;
+// Part of the longest pause that is forgotten with each tick.
+constexpr int64_t kPauseDecayDivisor = 512;
+constexpr int64_t kPauseScale = 1'024;
+
 bool IsFromLeader(RaftKind kind) {
   return kind == RaftKind::kAppend || kind == RaftKind::kHeartbeat ||
          kind == RaftKind::kSnapshot;
@@ -34,16 +41,42 @@
 // that a working leader is not replaced.
 bool Replica::Impl::HasLease() const {
   return is_leader() ||
-         (leader_ != 0 && election_elapsed_ < init_.election_ticks);
+         (leader_ != 0 && election_elapsed_ < ElectionTicks());
+}
+
+int64_t Replica::Impl::ElectionTicks() const {
+  if (init_.min_election_ticks == 0 || leader_pause_ == 0) {
+    return init_.election_ticks;
+  }
+  return std::clamp<int64_t>(
+      kPausesToElection * leader_pause_ / kPauseScale + 1,
+      init_.min_election_ticks, init_.election_ticks);
+}
+
+// Records the pause since the last message of the leader. Pauses that span a
+// change of the leader or a start say nothing about heartbeats.
+void Replica::Impl::OnLeaderHeard(ReplicaId leader) {
+  if (leader_ == leader) {
+    leader_pause_ =
+        std::max(leader_pause_, (election_elapsed_ + 1) * kPauseScale);
+  }
+  leader_ = leader;
+  election_elapsed_ = 0;
+  if (init_.min_election_ticks > 0) {
+    DrawElectionTimeout(ElectionTicks());
+  }
+}
+
+void Replica::Impl::DrawElectionTimeout(int64_t ticks) {
+  election_timeout_ = UniformInt(rng_, ticks, 2 * ticks);
 }
 
 void Replica::Impl::ResetElection() {
   election_elapsed_ = 0;
   heartbeat_elapsed_ = 0;
-  const int64_t ticks = heard_leader_ || init_.first_election_ticks == 0
-                            ? init_.election_ticks
-                            : init_.first_election_ticks;
-  election_timeout_ = UniformInt(rng_, ticks, 2 * ticks);
+  DrawElectionTimeout(heard_leader_ || init_.first_election_ticks == 0
+                          ? ElectionTicks()
+                          : init_.first_election_ticks);
   votes_.clear();
 }
 
@@ -249,6 +282,7 @@
   RING_CHECK(!awaiting_persist_);
   ++tick_;
   ++election_elapsed_;
+  leader_pause_ -= leader_pause_ / kPauseDecayDivisor;
   if (is_leader()) {
     TickLeader(now_ms);
     return;
--- a/src/log_replica_follower.cc
+++ b/src/log_replica_follower.cc
@@ -32,8 +32,7 @@
     RING_CHECK(!is_leader());
     BecomeFollower(message.term, message.from);
   }
-  leader_ = message.from;
-  election_elapsed_ = 0;
+  OnLeaderHeard(message.from);
   if (message.index < commit_index_) {
     return ReplyAppended(message.from, commit_index_);
   }
@@ -76,8 +75,7 @@
     RING_CHECK(!is_leader());
     BecomeFollower(message.term, message.from);
   }
-  leader_ = message.from;
-  election_elapsed_ = 0;
+  OnLeaderHeard(message.from);
   commit_index_ =
       std::max(commit_index_, std::min(message.commit, log_.last_index()));
   RaftMessage reply;
@@ -92,8 +90,7 @@
     RING_CHECK(!is_leader());
     BecomeFollower(message.term, message.from);
   }
-  leader_ = message.from;
-  election_elapsed_ = 0;
+  OnLeaderHeard(message.from);
   if (message.index <= commit_index_) {
     incoming_snapshot_.reset();
     return ReplyAppended(message.from, commit_index_);
--- a/src/log_replica_p.h
+++ b/src/log_replica_p.h
@@ -73,6 +73,9 @@
   // Roles and elections (log_replica_election.cc).
   bool IsVoter() const;
   bool HasLease() const;
+  int64_t ElectionTicks() const;
+  void OnLeaderHeard(ReplicaId leader);
+  void DrawElectionTimeout(int64_t ticks);
   size_t Quorum() const { return log_.config().voter_count() / 2 + 1; }
   void ResetElection();
   void BecomeFollower(uint64_t term, ReplicaId leader);
@@ -139,6 +142,9 @@
   int64_t election_elapsed_ = 0;  // Ticks since the election timer was reset.
   int64_t election_timeout_ = 0;  // Election timeout in ticks, randomized.
   bool heard_leader_ = false;     // Since this replica started.
+  // Longest recent pause between messages of the leader, in ticks, times
+  // kPauseScale; 0: not known yet.
+  int64_t leader_pause_ = 0;
   std::set<ReplicaId> reachable_;  // Peers that became reachable until then.
   int64_t heartbeat_elapsed_ = 0;
   std::map<ReplicaId, bool> votes_;
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -384,5 +384,98 @@
   EXPECT_EQ(ticks_until_campaign(2, 1), 101);
 }
 
+// Guards against turns that wait a second for an election although heartbeats
+// come often and evenly, and against elections while they merely come rarely.
+class ReplicaElectionTimeout : public ::testing::Test {
+ protected:
+  static constexpr int32_t kMaxTicks = 100;
+  static constexpr int32_t kMinTicks = 10;
+
+  ReplicaElectionTimeout()
+      : replica_({.id = 2,
+                  .election_ticks = kMaxTicks,
+                  .min_election_ticks = kMinTicks},
+                 InitialState()) {}
+
+  static DurableState InitialState() {
+    DurableState state;
+    state.snapshot.index = 1;
+    state.snapshot.term = 1;
+    state.snapshot.config.members = {
+        {1, "a", true}, {2, "b", true}, {3, "c", true}};
+    state.hard_state.term = 1;
+    state.start_index = 1;
+    state.start_term = 1;
+    return state;
+  }
+
+  /// Passes time until the next heartbeat of the leader.
+  /// @returns false if the replica campaigned meanwhile
+  bool Heartbeat(int ticks) {
+    for (int i = 0; i < ticks; ++i) {
+      replica_.Tick(1'000);
+      if (replica_.status().role == ReplicaRole::kPreCandidate) {
+        return false;
+      }
+    }
+    RaftMessage message;
+    message.kind = RaftKind::kHeartbeat;
+    message.from = 1;
+    message.to = 2;
+    message.term = 1;
+    replica_.Step(message, 1'000);
+    return true;
+  }
+
+  int TicksUntilCampaign() {
+    int ticks = 0;
+    while (replica_.status().role != ReplicaRole::kPreCandidate) {
+      replica_.Tick(1'000);
+      ++ticks;
+    }
+    return ticks;
+  }
+
+  Replica replica_;
+};
+
+TEST_F(ReplicaElectionTimeout, NoHeartbeatSeenYet_IsTheLongest) {
+  EXPECT_EQ(replica_.status().election_ticks, kMaxTicks);
+}
+
+TEST_F(ReplicaElectionTimeout, EvenHeartbeats_CampaignsAfterAFewPauses) {
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_TRUE(Heartbeat(3));
+  }
+  const int64_t timeout = replica_.status().election_ticks;
+  EXPECT_LE(timeout, 15);
+  EXPECT_LE(TicksUntilCampaign(), 2 * timeout + 1);
+}
+
+TEST_F(ReplicaElectionTimeout, DenseMessages_StaysAboveTheMinimum) {
+  for (int i = 0; i < 5'000; ++i) {
+    ASSERT_TRUE(Heartbeat(1));
+  }
+  EXPECT_EQ(replica_.status().election_ticks, kMinTicks);
+  EXPECT_GT(TicksUntilCampaign(), kMinTicks - 1);
+}
+
+TEST_F(ReplicaElectionTimeout, UnevenHeartbeats_NoCampaignBetweenThem) {
+  for (int i = 0; i < 200; ++i) {
+    ASSERT_TRUE(Heartbeat(i % 10 == 1 ? 15 : 3)) << i;
+  }
+  EXPECT_GE(replica_.status().election_ticks, 3 * 15);
+}
+
+TEST_F(ReplicaElectionTimeout, LongPauseWasLongAgo_IsForgotten) {
+  ASSERT_TRUE(Heartbeat(3));
+  ASSERT_TRUE(Heartbeat(20));
+  EXPECT_GE(replica_.status().election_ticks, 3 * 20);
+  for (int i = 0; i < 1'000; ++i) {
+    ASSERT_TRUE(Heartbeat(3));
+  }
+  EXPECT_LE(replica_.status().election_ticks, 15);
+}
+
 }  // namespace
 }  // namespace ring
