Let the leader choose the upstream of a turn before it appends the command

Cause: the begin of a turn carries up to 36 offers of 8 bytes; the log sent them to each member, also across the link between regions, and each member worked the same choice out again.

Change: StateMachineI::Prepare, called at the leader before it appends; the ring's state machine replaces the offers by the chosen one. The load counts the turn from then on, so that turns that wait for their commit do not all choose the same engine; a turn that is refused when it is applied is taken out again.

--- a/include/persimmonring/log.h
+++ b/include/persimmonring/log.h
@@ -165,6 +165,12 @@
 class StateMachineI {
  public:
   virtual ~StateMachineI() = default;
+  /// Called at the leader before it appends a proposed command. What depends
+  /// only on the leader's view is decided here, so that the log carries the
+  /// decision and not its inputs. The default returns the command as it is.
+  virtual std::string Prepare(std::string command, int64_t /*time_ms*/) {
+    return command;
+  }
   /// Applies a committed command.
   /// @param time_ms LogEntry::time_ms of the entry
   /// @returns the encoded result for the proposer
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -69,7 +69,7 @@
   /// The upstream that a turn is assigned to.
   struct Placement {
     uint32_t upstream = 0;  ///< UpstreamKey of the instance.
-    /// Open turns at the upstream. A new assignment does not count itself.
+    /// Other open turns at the upstream.
     int32_t load = 0;
 
     auto operator<=>(const Placement&) const = default;
@@ -224,6 +224,8 @@
   RingStateMachine(const Init& init, StateObserverI* observer);
   ~RingStateMachine() override;
 
+  /// Replaces the offers of a turn that begins by the chosen one.
+  std::string Prepare(std::string command, int64_t time_ms) override;
   std::string Apply(uint64_t index,
                     int64_t time_ms,
                     std::string_view command) override;
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -220,9 +220,9 @@
     next_housekeeping_ms_ = now_ms + kHousekeepingIntervalMs;
     ProposeExpiry(clock_.WallMs());
     ForwardVersions();
-    metrics::SetGauge("ring_log_election_timeout_ms", {{"group", name()}},
-                      static_cast<double>(replica_->status().election_ticks *
-                                          init_.tick_ms));
+    metrics::SetGauge(
+        "ring_log_election_timeout_ms", {{"group", name()}},
+        static_cast<double>(replica_->status().election_ticks * init_.tick_ms));
   }
 }
 
@@ -407,7 +407,8 @@
       .Add("role", ToString(status.role))
       .Add("election_timeout_ms", status.election_ticks * init_.tick_ms);
   if (leads_) {
-    transport_.SendToEntries({.kind = FrameKind::LeaderNotice, .group = name()});
+    transport_.SendToEntries(
+        {.kind = FrameKind::LeaderNotice, .group = name()});
   }
 }
 
--- a/src/keeper_group_requests.cc
+++ b/src/keeper_group_requests.cc
@@ -145,8 +145,11 @@
 }
 
 void GroupHost::HandleProposal(const Caller& caller, std::string command) {
-  ReplyWhenCommitted(caller,
-                     replica_->Propose(std::move(command), clock_.WallMs()));
+  const int64_t now_ms = clock_.WallMs();
+  if (replica_->is_leader()) {
+    command = machine_->Prepare(std::move(command), now_ms);
+  }
+  ReplyWhenCommitted(caller, replica_->Propose(std::move(command), now_ms));
 }
 
 void GroupHost::HandleReplicaChange(const Caller& caller,
--- a/src/log_replica_election.cc
+++ b/src/log_replica_election.cc
@@ -40,8 +40,7 @@
 // While a replica hears a leader, it ignores vote requests of later terms, so
 // that a working leader is not replaced.
 bool Replica::Impl::HasLease() const {
-  return is_leader() ||
-         (leader_ != 0 && election_elapsed_ < ElectionTicks());
+  return is_leader() || (leader_ != 0 && election_elapsed_ < ElectionTicks());
 }
 
 int64_t Replica::Impl::ElectionTicks() const {
--- a/src/state_load.cc
+++ b/src/state_load.cc
@@ -75,7 +75,8 @@
     const std::vector<UpstreamOffer>& offers,
     int64_t expires_ms) {
   if (const auto found = turns_.find(turn); found != turns_.end()) {
-    return Placement{found->second.upstream, load(found->second.upstream)};
+    return Placement{found->second.upstream,
+                     load(found->second.upstream) - 1};
   }
   if (offers.empty()) {
     return std::nullopt;
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -149,6 +149,7 @@
   }
   const auto previous_turn = turns_.find(previous);
   if (!previous.empty() && previous_turn == turns_.end()) {
+    load_balancer_.End(turn, 0, 0);
     return Result(fb::StateCode::UnknownTurn);
   }
   const std::string program_id = StringFrom(command.program());
@@ -162,6 +163,7 @@
       const int64_t reservation =
           command.max_tokens() > 0 ? command.max_tokens() : available;
       if (available <= 0 || reservation > available) {
+        load_balancer_.End(turn, 0, 0);
         return Result(fb::StateCode::BudgetSpent);
       }
       program.open[turn] = reservation;
@@ -172,18 +174,24 @@
     result.last_upstream = previous_turn->second.turn->upstream;
     CollectChain(previous, TextOf(command.known()), result);
   }
-  PlaceTurn(command, result);
+  if (const auto placement = PlaceTurn(command, now_ms_)) {
+    result.placed = placement->upstream;
+    result.placed_load = static_cast<uint16_t>(placement->load);
+  }
   return result;
 }
 
-void RingStateMachine::Impl::PlaceTurn(const fb::BeginTurn& command,
-                                       fb::StateResultT& result) {
+std::optional<LoadBalancer::Placement> RingStateMachine::Impl::PlaceTurn(
+    const fb::BeginTurn& command,
+    int64_t now_ms) {
   if (command.offers() == nullptr) {
-    return;
+    return std::nullopt;
   }
   constexpr int64_t kCostUnitUs = 100;  // Of the costs in the command.
+  const auto previous = turns_.find(TextOf(command.previous()));
   const uint32_t last_upstream =
-      result.last_upstream.empty() ? 0 : UpstreamKey(result.last_upstream);
+      previous == turns_.end() ? 0
+                               : UpstreamKey(previous->second.turn->upstream);
   std::vector<UpstreamOffer> offers;
   for (const fb::PlacementOffer* offer : *command.offers()) {
     int64_t cost = offer->cost();
@@ -192,11 +200,28 @@
     }
     offers.push_back({offer->upstream(), cost * kCostUnitUs, offer->slots()});
   }
-  if (const auto placement = load_balancer_.Place(
-          StringFrom(command.turn()), offers, now_ms_ + command.wait_ms())) {
-    result.placed = placement->upstream;
-    result.placed_load = static_cast<uint16_t>(placement->load);
-  }
+  return load_balancer_.Place(StringFrom(command.turn()), offers,
+                              now_ms + command.wait_ms());
+}
+
+// The load is known best to the leader, and only it replies to entries. The log
+// therefore carries the choice alone: the offers are most of the command, and a
+// copy of it goes to each member, also across the link between regions.
+std::string RingStateMachine::Impl::Prepare(std::string command,
+                                            int64_t time_ms) {
+  const FlatBufferView<fb::StateCommand> view(command);
+  const fb::BeginTurn* begin = view ? view->body_as_BeginTurn() : nullptr;
+  if (begin == nullptr || begin->offers() == nullptr ||
+      begin->offers()->size() < 2) {
+    return command;
+  }
+  const auto placement = PlaceTurn(*begin, time_ms);
+  fb::BeginTurnT prepared;
+  begin->UnPackTo(&prepared);
+  std::erase_if(prepared.offers, [&](const fb::PlacementOffer& offer) {
+    return !placement || offer.upstream() != placement->upstream;
+  });
+  return state_codec::EncodeBegin(prepared);
 }
 
 void RingStateMachine::Impl::CollectChain(const std::string& turn,
@@ -357,6 +382,10 @@
     : impl_(std::make_unique<Impl>(init, observer)) {}
 RingStateMachine::~RingStateMachine() = default;
 
+std::string RingStateMachine::Prepare(std::string command, int64_t time_ms) {
+  return impl_->Prepare(std::move(command), time_ms);
+}
+
 std::string RingStateMachine::Apply(uint64_t /*index*/,
                                     int64_t time_ms,
                                     std::string_view command) {
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
   Impl(const Init& init, StateObserverI* observer)
       : init_(init), observer_(observer) {}
 
+  std::string Prepare(std::string command, int64_t time_ms);
   std::string Apply(int64_t time_ms, std::string_view command);
   std::string Query(std::string_view query) const;
   std::unique_ptr<StateImageI> BeginSave() const;
@@ -63,8 +65,9 @@
   void NotifySuspects();
   /// Drops everything that is past its retention.
   void Expire();
-  /// Assigns a turn that has begun to one of the offered upstreams.
-  void PlaceTurn(const fb::BeginTurn& command, fb::StateResultT& result);
+  /// Assigns a turn to one of the offered upstreams.
+  std::optional<LoadBalancer::Placement> PlaceTurn(const fb::BeginTurn& command,
+                                                   int64_t now_ms);
   /// Stores a completed turn, so that later turns can continue it.
   void StoreTurn(const fb::FinishTurn& command);
   /// Extends the retention of a turn and its ancestors to at least
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -368,8 +368,7 @@
   state.start_term = 1;
   const auto ticks_until_campaign = [&state](ReplicaId id, ReplicaId peer) {
     Replica replica(
-        {.id = id, .election_ticks = 300, .first_election_ticks = 100},
-        state);
+        {.id = id, .election_ticks = 300, .first_election_ticks = 100}, state);
     replica.OnReachable(peer);
     int ticks = 0;
     while (!replica.HasReady()) {
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "persimmonring/state.h"
@@ -444,5 +446,58 @@
   EXPECT_EQ(recorder.suspects_version, 0u);
 }
 
+// Guards against log entries that carry all offers of a turn to every member,
+// and against a burst of turns that all go to one upstream because the load is
+// counted only once they are committed.
+class PreparedTurnTest : public RingStateTest {
+ protected:
+  std::string Prepared(const std::string& turn,
+                       const std::string& previous = "") {
+    fb::BeginTurnT begin = BeginOf(turn, previous, 1'000, 100);
+    begin.wait_ms = 4'000;
+    for (const uint32_t upstream : {1u, 2u, 3u}) {
+      begin.offers.emplace_back(upstream, uint16_t{0}, uint8_t{8});
+    }
+    return machine_.Prepare(state_codec::EncodeBegin(begin), now_ms_);
+  }
+};
+
+TEST_F(PreparedTurnTest, TurnsNotYetApplied_GoToDifferentUpstreams) {
+  const std::string first = Prepared("a");
+  const std::string second = Prepared("b");
+  const std::string third = Prepared("c");
+  const std::set<uint32_t> chosen = {Apply(first).placed, Apply(second).placed,
+                                     Apply(third).placed};
+  EXPECT_EQ(chosen, (std::set<uint32_t>{1, 2, 3}));
+}
+
+TEST_F(PreparedTurnTest,
+       FollowerAppliesThePreparedCommand_PlacesLikeTheLeader) {
+  Prepared("a");
+  const std::string command = Prepared("b");
+  RingStateMachine follower{RingStateMachine::Init{}, nullptr};
+  const auto result =
+      state_codec::DecodeResult(follower.Apply(1, now_ms_, command));
+  ASSERT_TRUE(result.ok());
+  EXPECT_EQ(result->placed, Apply(command).placed);
+}
+
+TEST_F(PreparedTurnTest, ThreeOffers_CommandShrinks) {
+  fb::BeginTurnT begin = BeginOf("a", "", 1'000, 100);
+  for (uint32_t upstream = 1; upstream <= 36; ++upstream) {
+    begin.offers.emplace_back(upstream, uint16_t{0}, uint8_t{8});
+  }
+  const std::string command = state_codec::EncodeBegin(begin);
+  EXPECT_LT(machine_.Prepare(command, now_ms_).size() + 35 * 8,
+            command.size() + 8);
+}
+
+TEST_F(PreparedTurnTest, TurnIsRefused_ItsLoadIsReleased) {
+  EXPECT_EQ(Apply(Prepared("a", "missing")).code, fb::StateCode::UnknownTurn);
+  EXPECT_EQ(Apply(Prepared("b")).placed_load, 0);
+  EXPECT_EQ(Apply(Prepared("c")).placed_load, 0);
+  EXPECT_EQ(Apply(Prepared("d")).placed_load, 0);
+}
+
 }  // namespace
 }  // namespace ring
