Place requests by times that the entry observes

Cause: prefill speed, round trips, the time of a call and of a turn, and the events of a turn were figures of deployment sheets. A deployment with other engines, delays or calls was placed by the wrong prices.

Change: ObservedTimes keeps bounded means of an entry's own requests: connect time by failure domain, prefill time per token (a low mean, since larger samples include waits), time of a request that did not wait for a slot. The load balancer observes the time of turns by itself and weighs queues and slow events by it. Defaults apply until then. time_observed and ring_observed_time show what was learned. Own requests at plain services count twice, because an entry does not see those of the others.

--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -24,6 +24,7 @@
 #include "persimmonring/core.h"
 #include "persimmonring/keeper.h"
 #include "persimmonring/net.h"
+#include "persimmonring/policy.h"
 #include "persimmonring/runtime.h"
 #include "persimmonring/state.h"
 #include "persimmonring/wire.h"
@@ -300,6 +301,9 @@
   std::string instance;
   bool same_domain = false;
   bool same_region = false;
+  /// Round trip as observed, us; nullopt: no connection to its failure domain
+  /// has been opened yet.
+  std::optional<int64_t> round_trip_us;
   int32_t slots = 1;
   int32_t in_flight = 0;  ///< Requests of this entry that are in flight there.
   /// Tokens of this prompt that are probably cached there.
@@ -316,6 +320,10 @@
 struct PlacementInput {
   bool engine = false;
   int64_t prompt_tokens = 0;
+  /// Time to process one prompt token, ns.
+  int64_t prefill_ns_per_token = ObservedTimes::kPrefillNsPerToken;
+  /// Time of one request at an upstream, us.
+  int64_t service_us = ObservedTimes::kTurnUs;
   std::vector<PlacementCandidate> candidates;
   uint64_t random = 0;  ///< Breaks ties.
 
@@ -336,6 +344,24 @@
 
 // --------------------------------------------------------------------- gateway
 
+/// Mechanisms of deciding. Experiments switch one off to measure its worth.
+struct GatewayMechanisms {
+  /// Turns are placed by the open turns of all entries.
+  bool load_balancer = true;
+  /// Sessions and prompt parts return to the upstream that has them cached.
+  bool affinity = true;
+  /// Upstreams that failed recently are avoided.
+  bool suspicion = true;
+  /// Repeatable requests are sent elsewhere if an upstream takes long.
+  bool attempt_timeouts = true;
+  /// Requests wait briefly at an entry that has just started.
+  bool startup_wait = true;
+  /// Placement rests on observed times instead of defaults.
+  bool observed_times = true;
+
+  auto operator<=>(const GatewayMechanisms&) const = default;
+};
+
 struct GatewayInit {
   std::string node;
   std::string domain;
@@ -355,6 +381,7 @@
   size_t max_event_bytes = 256u << 10;  ///< Limit for one event of a stream.
   /// Limit for the data of all events of a turn.
   size_t max_turn_bytes = 2u << 20;
+  GatewayMechanisms mechanisms;
 };
 
 /// The data path. Runs on the event loop and receives frames on the hub's
--- a/include/persimmonring/keeper.h
+++ b/include/persimmonring/keeper.h
@@ -55,6 +55,7 @@
   int32_t election_ticks = 20;       ///< Randomized over [n, 2n].
   int32_t min_election_ticks = 0;    ///< See Replica::Init.
   int32_t first_election_ticks = 0;  ///< See Replica::Init.
+  bool leader_notice = true;         ///< New leaders tell the entries.
   /// Maximum size of the log entries in one append message, bytes.
   size_t max_append_bytes = 1u << 20;
   /// Maximum unacknowledged appends to each member.
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -496,12 +496,14 @@
   int64_t keep_alive_ms() const { return keep_alive_ms_; }
   /// @returns the number of requests sent on this connection
   uint64_t exchanges() const { return exchanges_; }
+  /// @returns time in which the connection was established, ms
+  int64_t connect_ms() const { return connect_ms_; }
   /// Sets a callback for an idle connection that has become unusable.
   void OnUnusable(std::function<void()> callback) {
     on_unusable_ = std::move(callback);
   }
 
-  void OnConnected() override {}
+  void OnConnected() override { connect_ms_ = loop_.now_ms() - start_ms_; }
   void OnBytes(std::string_view bytes) override;
   void OnClosed(CloseKind kind) override;
   void OnHead(HttpHead head) override;
@@ -509,10 +511,14 @@
   void OnMessageEnd() override;
 
  private:
-  explicit HttpClientConnection(std::unique_ptr<TcpConnection> connection);
+  HttpClientConnection(EventLoop& loop,
+                       std::unique_ptr<TcpConnection> connection);
   void Fail(ExchangeFailure failure);
   void EndExchange();
 
+  EventLoop& loop_;
+  const int64_t start_ms_;
+  int64_t connect_ms_ = 0;
   std::unique_ptr<TcpConnection> connection_;
   HttpParser parser_;
   HttpExchangeListenerI* listener_ = nullptr;
--- a/include/persimmonring/policy.h
+++ b/include/persimmonring/policy.h
@@ -4,11 +4,13 @@
 /// is a pure function of an immutable input, so it can be tested and replayed
 /// without threads. Times are monotonic milliseconds.
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -358,4 +360,79 @@
   std::deque<uint64_t> recent_;
 };
 
+// ------------------------------------------------------------ observed figures
+
+/// Moving mean of a figure that differs between deployments. A sample moves it
+/// by a bounded step, so that impossible samples cannot spoil it.
+class BoundedMean {
+ public:
+  struct Init {
+    int64_t initial = 0;  ///< Value before the first sample.
+    int64_t min = 0;
+    int64_t max = INT64_MAX;
+    /// A sample above (below) the mean moves it by this part of the
+    /// difference.
+    int64_t rise_divisor = 16;
+    int64_t fall_divisor = 16;
+
+    auto operator<=>(const Init&) const = default;
+  };
+  explicit BoundedMean(const Init& init)
+      : init_(init), value_(std::clamp(init.initial, init.min, init.max)) {}
+
+  void Add(int64_t sample);
+  int64_t value() const { return value_; }
+  int64_t samples() const { return samples_; }
+
+ private:
+  Init init_;
+  int64_t value_;
+  int64_t samples_ = 0;
+};
+
+/// Times that placement depends on, as one entry observes them in its own
+/// requests. Until a time has been observed, a default applies that suits
+/// upstreams of any speed. Not thread-safe.
+class ObservedTimes {
+ public:
+  /// Reports the time in which a connection to an upstream was established, us.
+  void OnConnected(const std::string& domain, int64_t us);
+  /// Reports the time to the first token of a prompt, us, without the round
+  /// trip and a step of decoding.
+  /// @param tokens prompt tokens that were probably not cached
+  void OnFirstToken(const std::string& service, int64_t us, int64_t tokens);
+  /// Reports the time in which an upstream served a request that did not have
+  /// to wait for a slot, us.
+  void OnServed(const std::string& service, bool engine, int64_t us);
+
+  /// @returns round trip to upstreams of the domain, us; nullopt if unknown
+  std::optional<int64_t> RoundTripUs(const std::string& domain) const;
+  /// @returns time to process one prompt token, ns
+  int64_t PrefillNsPerToken(const std::string& service) const;
+  /// @returns time of one request at an upstream of the service, us
+  int64_t ServiceUs(const std::string& service, bool engine) const;
+
+  const std::map<std::string, BoundedMean>& round_trips() const {
+    return round_trips_;
+  }
+  const std::map<std::string, BoundedMean>& prefill_ns() const {
+    return prefill_ns_;
+  }
+  const std::map<std::string, BoundedMean>& service_us() const {
+    return service_us_;
+  }
+
+  /// Defaults of an unobserved service.
+  static constexpr int64_t kPrefillNsPerToken = 16'000;
+  static constexpr int64_t kCallUs = 60'000;   ///< Plain services.
+  static constexpr int64_t kTurnUs = 300'000;  ///< Engines.
+
+ private:
+  static constexpr int64_t kMaxRoundTripUs = 1'000'000;
+
+  std::map<std::string, BoundedMean> round_trips_;  ///< By failure domain.
+  std::map<std::string, BoundedMean> prefill_ns_;   ///< By service.
+  std::map<std::string, BoundedMean> service_us_;   ///< By service.
+};
+
 }  // namespace ring
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "persimmonring/log.h"
+#include "persimmonring/policy.h"
 #include "state.generated.h"
 
 namespace ring {
@@ -54,7 +55,8 @@
 /// to the engine, us.
 /// @param running turns running or queued at the engine
 /// @param slots turns that the engine runs concurrently
-int64_t EngineWaitUs(int32_t running, int32_t slots);
+/// @param turn_us time of one turn that does not wait
+int64_t EngineWaitUs(int32_t running, int32_t slots, int64_t turn_us);
 
 /// Assigns turns to the upstream with the least expected wait. Counts the open
 /// turns of all entries by upstream and tracks the speed of each upstream.
@@ -66,6 +68,8 @@
 /// This data only affects placement, so snapshots do not include it.
 class LoadBalancer {
  public:
+  LoadBalancer();
+
   /// The upstream that a turn is assigned to.
   struct Placement {
     uint32_t upstream = 0;  ///< UpstreamKey of the instance.
@@ -81,21 +85,32 @@
   /// @returns nullopt if the turn is not assigned and there are no offers
   std::optional<Placement> Place(const std::string& turn,
                                  const std::vector<UpstreamOffer>& offers,
+                                 int64_t now_ms,
                                  int64_t expires_ms);
-  /// Removes a turn from the load and records the speed of its upstream.
+  /// Removes a turn from the load and records its time and the speed of its
+  /// upstream.
   /// @param upstream key of the upstream that ran the turn
   /// @param event_us mean time between events of the turn, us; 0: unknown
-  void End(const std::string& turn, uint32_t upstream, int64_t event_us);
+  void End(const std::string& turn,
+           uint32_t upstream,
+           int64_t event_us,
+           int64_t now_ms);
+  /// Removes a turn that did not run.
+  void Cancel(const std::string& turn);
   /// Removes turns whose entry did not report their end in time, and moves the
   /// mean of each upstream towards the median. Called once per second.
   void Expire(int64_t now_ms);
   /// @returns open turns at an upstream
   int32_t load(uint32_t upstream) const;
+  /// @returns mean time of the turns that did not wait, us
+  int64_t turn_us() const { return turn_us_.value(); }
 
  private:
   struct Turn {
     uint32_t upstream = 0;
     int64_t expires_ms = 0;
+    int64_t placed_ms = 0;
+    bool queued = false;  ///< The upstream had no free slot.
   };
   int64_t WaitUs(const UpstreamOffer& offer, int64_t median_event_us) const;
   int64_t MedianEventUs(const std::vector<UpstreamOffer>& offers) const;
@@ -104,6 +119,7 @@
   std::map<uint32_t, int32_t> loads_;
   /// Moving mean of the time between events by upstream, us.
   std::map<uint32_t, int64_t> event_us_;
+  BoundedMean turn_us_;
 };
 
 /// A request that was in flight when upstreams crashed.
@@ -218,6 +234,7 @@
     /// A departure is dropped after this time. Addresses are reused much
     /// earlier.
     int64_t departure_retention_ms = 600'000;
+    bool upstream_speed = true;  ///< See KeeperSettingTable().
   };
 
   /// @param observer may be null; otherwise it must outlive the state machine
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -161,7 +161,9 @@
   ChooseService();
   if (is_stream()) {
     RestartEvents();
-    cached_ = gateway_.affinity().Find(info_);
+    if (gateway_.init().mechanisms.affinity) {
+      cached_ = gateway_.affinity().Find(info_);
+    }
   }
   if (is_stream() && (route_->keeps_turns || info_.budget_tokens)) {
     BeginTurn();
@@ -271,7 +273,8 @@
   if (!connection_->connected()) {
     connect_timer_.Start(kConnectTimeoutMs, [this] { OnConnectTimeout(); });
   }
-  if (may_repeat() && runs_ + 1 < route_->max_attempts) {
+  if (gateway_.init().mechanisms.attempt_timeouts && may_repeat() &&
+      runs_ + 1 < route_->max_attempts) {
     int64_t attempt_timeout_ms = route_->goal_ms > 0
                                      ? route_->goal_ms
                                      : remaining_ms() / kAttemptTimeoutDivisor;
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -126,6 +126,34 @@
          (events_->events() - 1);
 }
 
+void GatewayCall::RecordTimes() {
+  constexpr int64_t kUsPerMs = 1'000;
+  ObservedTimes& times = gateway_.times();
+  if (connection_->exchanges() == 1) {
+    times.OnConnected(upstream_.domain, connection_->connect_ms() * kUsPerMs);
+  }
+  if (sends_ > 1 || load_ >= upstream_.slots || status_ >= kFirstErrorStatus) {
+    return;
+  }
+  const int64_t round_trip_us = times.RoundTripUs(upstream_.domain).value_or(0);
+  const int64_t sent_at_ms = start_ms_ + sent_ms_;
+  times.OnServed(
+      service_, is_stream(),
+      (gateway_.loop().now_ms() - sent_at_ms) * kUsPerMs - round_trip_us);
+  // Little load, so that the prompt did not wait for others. The first part is
+  // shared by many programs and nearly always cached.
+  constexpr int32_t kIdleDivisor = 4;
+  if (streaming_ && turn_ && EventUs() > 0 && !info_.prompt.empty() &&
+      load_ <= upstream_.slots / kIdleDivisor &&
+      cached_.instance != upstream_.instance) {
+    const int64_t step_us = EventUs() / std::max(turn_->tokens_per_event, 1);
+    times.OnFirstToken(
+        service_,
+        (first_event_ms_ - sent_at_ms) * kUsPerMs - round_trip_us - step_us,
+        info_.prompt_tokens - info_.prompt.front().tokens);
+  }
+}
+
 void GatewayCall::ForwardEvents(std::string_view bytes) {
   const int64_t events_before = events_->events();
   if (!events_->Feed(bytes)) {
@@ -188,6 +216,7 @@
   }
   may_have_run_ = true;
   ++runs_;
+  RecordTimes();
   ReleaseConnection(true);
   if (status_ >= kFirstServerErrorStatus) {
     gateway_.RecordError(upstream_.instance);
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -107,7 +107,10 @@
     suspects_.Expire(loop_.now_ms());
     crash_detector_.Expire();
   });
-  loop_.Every(kGaugesMs, [this] { SetGauges(); });
+  loop_.Every(kGaugesMs, [this] {
+    SetGauges();
+    LogTimes();
+  });
   return Done{};
 }
 
@@ -121,6 +124,28 @@
   set("ring_upstreams_known", upstreams_.size());
 }
 
+void Gateway::Impl::LogTimes() {
+  constexpr int64_t kMuchDivisor = 4;
+  const auto log = [this](const char* kind, const auto& means) {
+    for (const auto& [name, mean] : means) {
+      metrics::SetGauge("ring_observed_time", {{"kind", kind}, {"of", name}},
+                        static_cast<double>(mean.value()));
+      int64_t& logged = logged_times_[std::string(kind) + "/" + name];
+      if (std::abs(mean.value() - logged) > logged / kMuchDivisor) {
+        logged = mean.value();
+        Event(LogLevel::kInfo, "time_observed")
+            .Add("kind", kind)
+            .Add("of", name)
+            .Add("value", mean.value())
+            .Add("samples", mean.samples());
+      }
+    }
+  };
+  log("round_trip_us", times_.round_trips());
+  log("prefill_ns_per_token", times_.prefill_ns());
+  log("service_us", times_.service_us());
+}
+
 void Gateway::Impl::AddKeepers(const std::vector<Endpoint>& keepers) {
   for (const Endpoint& keeper : keepers) {
     hub_->Connect(keeper);
@@ -128,7 +153,7 @@
 }
 
 bool Gateway::Impl::starting() const {
-  return loop_.now_ms() < startup_end_ms_;
+  return init_.mechanisms.startup_wait && loop_.now_ms() < startup_end_ms_;
 }
 
 bool Gateway::Impl::CanServeFor(int64_t wait_ms) const {
@@ -375,11 +400,20 @@
   input.engine = spec != nullptr && spec->engine.has_value();
   input.prompt_tokens = call.info().prompt_tokens;
   input.random = call.random();
+  input.service_us =
+      input.engine ? ObservedTimes::kTurnUs : ObservedTimes::kCallUs;
+  if (init_.mechanisms.observed_times) {
+    input.prefill_ns_per_token = times_.PrefillNsPerToken(service);
+    input.service_us = times_.ServiceUs(service, input.engine);
+  }
   for (const UpstreamInstance* upstream : ready) {
     PlacementCandidate candidate;
     candidate.instance = upstream->instance;
     candidate.same_domain = upstream->domain == init_.domain;
     candidate.same_region = RegionOf(upstream->domain) == init_.region;
+    if (init_.mechanisms.observed_times) {
+      candidate.round_trip_us = times_.RoundTripUs(upstream->domain);
+    }
     candidate.slots = upstream->slots;
     const auto load = in_flight_.find(upstream->instance);
     candidate.in_flight = load == in_flight_.end() ? 0 : load->second;
@@ -387,9 +421,11 @@
       candidate.cached_tokens = call.cached().tokens;
     }
     candidate.tried = call.tried().contains(upstream->instance);
-    candidate.suspected =
-        health_.IsSuspected(upstream->instance, loop_.now_ms());
-    candidate.failure_percent = health_.FailurePercent(upstream->instance);
+    if (init_.mechanisms.suspicion) {
+      candidate.suspected =
+          health_.IsSuspected(upstream->instance, loop_.now_ms());
+      candidate.failure_percent = health_.FailurePercent(upstream->instance);
+    }
     candidate.cold = upstream->cold_left_ms > 0;
     input.candidates.push_back(std::move(candidate));
   }
@@ -424,6 +460,9 @@
     return static_cast<uint16_t>(
         std::clamp<int64_t>(us / kCostUnitUs, 0, UINT16_MAX));
   };
+  if (!init_.mechanisms.load_balancer) {
+    return;
+  }
   const PlacementInput input = BuildPlacementInput(
       upstreams_.Ready(service, loop_.now_ms()), service, call);
   for (const UpstreamOffer& offer : OfferPlacements(input)) {
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -112,6 +112,7 @@
   ConnectionPool& pool() { return pool_; }
   ChainCache& chains() { return chains_; }
   AffinityCache& affinity() { return affinity_; }
+  ObservedTimes& times() { return times_; }
   std::shared_ptr<const RouteTable> table() const { return table_; }
   std::string RegionOf(const std::string& domain) const;
 
@@ -139,6 +140,9 @@
   bool ready() const;
   void CheckDrained();
   void SetGauges() const;
+  /// Logs the observed times that have changed much since they were last
+  /// logged.
+  void LogTimes();
 
   const GatewayInit init_;
   const CallerProtocolI& protocol_;
@@ -148,6 +152,8 @@
   ConnectionPool pool_;
   ChainCache chains_;
   AffinityCache affinity_;
+  ObservedTimes times_;
+  std::map<std::string, int64_t> logged_times_;  ///< By kind and name.
   std::shared_ptr<const RouteTable> table_;
   /// Newest version that each keeper announced.
   std::map<SessionHandle, uint64_t> announced_versions_;
@@ -246,6 +252,8 @@
   void SendAgain();
   void RetryOrRefuse(const Refusal& refusal);
   void RecordEventTimes(int64_t events_before);
+  /// Reports the times of a complete response to ObservedTimes.
+  void RecordTimes();
   /// @returns mean time between events of the upstream, us; 0: unknown
   int64_t EventUs() const;
   bool IsOwnAnswer(const UpstreamResponse& answer) const;
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -8,25 +8,21 @@
 // Costs are the expected time to the first byte of the response, us, as far as
 // it differs between candidates.
 
-// Prompt tokens that an engine of this class processes per millisecond; 61.2 in
-// the deployment sheets, rounded.
-constexpr int64_t kPrefillTokensPerMs = 60;
-// Requests of a batch that are delayed while a prompt is processed, half of the
-// usual slots (6 to 16). A turn that moves away from the engine that has its
-// chain cached delays them too.
-constexpr int64_t kDelayedByPrefill = 4;
-constexpr int64_t kUsPerMs = 1'000;
-// Extra latency of another domain of the region (0.5 to 1.4 ms one way) and of
-// another region (8 ms one way). The latter includes a surcharge for the low
-// bandwidth between regions.
+constexpr int64_t kNsPerUs = 1'000;
+// Extra latency of another failure domain or region until one has been
+// observed.
 constexpr int64_t kOtherDomainUs = 3'000;
 constexpr int64_t kOtherRegionUs = 25'000;
-// Slowdown of a plain service by each running request.
-constexpr int64_t kRunningRequestUs = 500;
-// Wait for one request in excess of the slots: about one call of a plain
-// service (13 to 104 ms in the deployment sheets).
-constexpr int64_t kQueuedRequestUs = 60'000;
-constexpr int64_t kColdUs = 20'000;
+// The request and the response occupy the link as well, and all traffic between
+// regions shares one; this part of the round trip is added for it.
+constexpr int64_t kLinkDivisor = 2;
+// Requests in the batch of a busy engine that reading a prompt delays. Chains
+// that wander delay them with every turn.
+constexpr int64_t kDelayedByPrefill = 4;
+// Each running request slows a plain service down by this part of a request.
+constexpr int64_t kRunningDivisor = 128;
+// A service that has just started takes longer by this part of a request.
+constexpr int64_t kColdDivisor = 4;
 constexpr int64_t kSuspectedUs = 2'000'000;
 // Cost of each percent of failed requests: a failure costs the caller about a
 // second until it has retried.
@@ -38,24 +34,42 @@
 constexpr size_t kSameRegionOffers = 32;
 constexpr size_t kOtherRegionOffers = 4;
 
-int64_t PrefillUs(int64_t tokens) {
-  return std::max<int64_t>(tokens, 0) * kUsPerMs * kDelayedByPrefill /
-         kPrefillTokensPerMs;
+// Expected time to process prompt tokens, and by which that delays others.
+int64_t PrefillUs(const PlacementInput& input, int64_t tokens) {
+  return std::max<int64_t>(tokens, 0) * input.prefill_ns_per_token *
+         kDelayedByPrefill / kNsPerUs;
+}
+
+// Round trip beyond that to the nearest candidate.
+int64_t DistanceUs(const PlacementCandidate& candidate, int64_t nearest_us) {
+  if (!candidate.round_trip_us) {
+    return candidate.same_domain   ? 0
+           : candidate.same_region ? kOtherDomainUs
+                                   : kOtherRegionUs;
+  }
+  const int64_t extra_us =
+      std::max<int64_t>(*candidate.round_trip_us - nearest_us, 0);
+  return extra_us + extra_us / kLinkDivisor;
+}
+
+int64_t NearestUs(const PlacementInput& input) {
+  int64_t nearest_us = kOtherRegionUs;
+  for (const PlacementCandidate& candidate : input.candidates) {
+    nearest_us =
+        std::min(nearest_us, candidate.round_trip_us.value_or(nearest_us));
+  }
+  return nearest_us;
 }
 
 // Cost that does not depend on the requests in flight.
 int64_t FixedCostUs(const PlacementInput& input,
-                    const PlacementCandidate& candidate) {
-  int64_t cost = 0;
-  if (!candidate.same_region) {
-    cost += kOtherRegionUs;
-  } else if (!candidate.same_domain) {
-    cost += kOtherDomainUs;
-  }
+                    const PlacementCandidate& candidate,
+                    int64_t nearest_us) {
+  int64_t cost = DistanceUs(candidate, nearest_us);
   if (input.engine) {
-    cost += PrefillUs(input.prompt_tokens - candidate.cached_tokens);
+    cost += PrefillUs(input, input.prompt_tokens - candidate.cached_tokens);
   }
-  cost += candidate.cold ? kColdUs : 0;
+  cost += candidate.cold ? input.service_us / kColdDivisor : 0;
   cost += candidate.suspected ? kSuspectedUs : 0;
   cost += candidate.failure_percent * kFailurePercentUs;
   cost += candidate.tried ? kTriedUs : 0;
@@ -65,16 +79,17 @@
 int64_t LoadCostUs(const PlacementInput& input,
                    const PlacementCandidate& candidate) {
   if (input.engine) {
-    return EngineWaitUs(candidate.in_flight, candidate.slots);
+    return EngineWaitUs(candidate.in_flight, candidate.slots, input.service_us);
   }
   const int64_t slots = std::max(candidate.slots, 1);
   const int64_t load = candidate.in_flight;
-  // Plain services slow down when nearly full.
-  int64_t cost =
-      load * kRunningRequestUs + load * kQueuedRequestUs / (slots * 4);
+  // Plain services slow down when nearly full. Other entries send about as many
+  // requests as this one, so a slot counts as half free at most.
+  int64_t cost = load * input.service_us / kRunningDivisor +
+                 load * input.service_us / (slots * 2);
   if (load >= slots) {
     cost +=
-        (load - slots + 1) * kQueuedRequestUs / slots + kQueuedRequestUs / 2;
+        (load - slots + 1) * input.service_us / slots + input.service_us / 2;
   }
   return cost;
 }
@@ -89,10 +104,11 @@
 }  // namespace
 
 std::optional<size_t> PlaceRequest(const PlacementInput& input) {
+  const int64_t nearest_us = NearestUs(input);
   std::optional<size_t> best;
   int64_t best_cost = 0;
   for (size_t i = 0; i < input.candidates.size(); ++i) {
-    const int64_t cost = FixedCostUs(input, input.candidates[i]) +
+    const int64_t cost = FixedCostUs(input, input.candidates[i], nearest_us) +
                          LoadCostUs(input, input.candidates[i]) +
                          TieBreakUs(input, i);
     if (!best || cost < best_cost) {
@@ -104,15 +120,17 @@
 }
 
 std::vector<UpstreamOffer> OfferPlacements(const PlacementInput& input) {
+  const int64_t nearest_us = NearestUs(input);
   std::vector<UpstreamOffer> near;
   std::vector<UpstreamOffer> far;
   for (size_t i = 0; i < input.candidates.size(); ++i) {
     const PlacementCandidate& candidate = input.candidates[i];
     if (!candidate.tried && !candidate.suspected) {
       (candidate.same_region ? near : far)
-          .push_back({UpstreamKey(candidate.instance),
-                      FixedCostUs(input, candidate) + TieBreakUs(input, i),
-                      candidate.slots});
+          .push_back(
+              {UpstreamKey(candidate.instance),
+               FixedCostUs(input, candidate, nearest_us) + TieBreakUs(input, i),
+               candidate.slots});
     }
   }
   const auto keep_best = [](std::vector<UpstreamOffer>& offers, size_t count) {
@@ -128,7 +146,7 @@
 }
 
 int64_t CachedSavingUs(const PlacementInput& input) {
-  return PrefillUs(input.prompt_tokens);
+  return PrefillUs(input, input.prompt_tokens);
 }
 
 }  // namespace ring
--- a/src/keeper_group.cc
+++ b/src/keeper_group.cc
@@ -406,7 +406,7 @@
       .Add("leader", status.leader)
       .Add("role", ToString(status.role))
       .Add("election_timeout_ms", status.election_ticks * init_.tick_ms);
-  if (leads_) {
+  if (leads_ && init_.leader_notice) {
     transport_.SendToEntries(
         {.kind = FrameKind::LeaderNotice, .group = name()});
   }
--- a/src/keeper_group_p.h
+++ b/src/keeper_group_p.h
@@ -71,6 +71,7 @@
     int32_t election_ticks = 20;
     int32_t min_election_ticks = 0;
     int32_t first_election_ticks = 0;
+    bool leader_notice = true;
     size_t max_append_bytes = 1u << 20;
     size_t max_inflight_appends = 64;
     size_t max_pending = 4'096;
--- a/src/keeper_host.cc
+++ b/src/keeper_host.cc
@@ -97,6 +97,7 @@
     group.election_ticks = init_.election_ticks;
     group.min_election_ticks = init_.min_election_ticks;
     group.first_election_ticks = init_.first_election_ticks;
+    group.leader_notice = init_.leader_notice;
     group.max_append_bytes = init_.max_append_bytes;
     group.max_inflight_appends = init_.max_inflight_appends;
     group.max_pending = init_.max_pending_proposals;
--- a/src/net_http_client.cc
+++ b/src/net_http_client.cc
@@ -37,12 +37,15 @@
     return nullptr;
   }
   return std::unique_ptr<HttpClientConnection>(
-      new HttpClientConnection(std::move(connection)));
+      new HttpClientConnection(loop, std::move(connection)));
 }
 
 HttpClientConnection::HttpClientConnection(
+    EventLoop& loop,
     std::unique_ptr<TcpConnection> connection)
-    : connection_(std::move(connection)),
+    : loop_(loop),
+      start_ms_(loop.now_ms()),
+      connection_(std::move(connection)),
       parser_(HttpParser::Kind::kResponse, *this, kMaxResponseHeaderBytes) {
   connection_->SetListener(this);
 }
--- a/src/state_load.cc
+++ b/src/state_load.cc
@@ -5,19 +5,21 @@
 namespace ring {
 namespace {
 
-// Delay by each turn in the same batch. Its prompt, about 1,200 tokens at
-// 60 tokens/ms, interrupts the decoding of the others; the delay is spread over
-// a turn.
-constexpr int64_t kBatchDelayUs = 2'000;
-// Time that a turn occupies a slot: its prompt and 12 events of 6 tokens at
-// 3.4 ms per step, as in the deployment sheets.
-constexpr int64_t kTurnSlotTimeUs = 300'000;
-// Events of a long turn; the deployment sheets give 6 to 12.
-constexpr int64_t kEventsPerTurn = 12;
+// Each turn in the same batch delays the others by this part of a turn: its
+// prompt interrupts their decoding, and larger batches decode more slowly.
+constexpr int64_t kBatchDelayDivisor = 128;
+// Time of a turn until one has been observed. Its order of magnitude suffices
+// to prefer a free slot over a queue.
+constexpr BoundedMean::Init kTurnUs{.initial = ObservedTimes::kTurnUs,
+                                    .min = 1'000,
+                                    .max = 600'000'000,
+                                    .rise_divisor = 32,
+                                    .fall_divisor = 32};
 // Weight of the newest turn in the moving mean of an upstream. About the last
 // three turns dominate it.
 constexpr int64_t kNewestWeightPercent = 35;
 constexpr int64_t kPercent = 100;
+constexpr int64_t kUsPerMs = 1'000;
 // A slow upstream gets too few turns to show that it has recovered, so each
 // second its mean moves towards the median by one part in this many.
 constexpr int64_t kMeanDecayDivisor = 4;
@@ -40,20 +42,23 @@
   return key == 0 ? 1 : key;
 }
 
-int64_t EngineWaitUs(int32_t running, int32_t slots) {
+int64_t EngineWaitUs(int32_t running, int32_t slots, int64_t turn_us) {
   const int64_t parallel = std::max(slots, 1);
   const int64_t queued = std::max<int64_t>(running - parallel + 1, 0);
-  return running * kBatchDelayUs + queued * kTurnSlotTimeUs / parallel;
+  return running * turn_us / kBatchDelayDivisor + queued * turn_us / parallel;
 }
 
+LoadBalancer::LoadBalancer() : turn_us_(kTurnUs) {}
+
 int64_t LoadBalancer::WaitUs(const UpstreamOffer& offer,
                              int64_t median_event_us) const {
-  int64_t wait_us =
-      offer.cost_us + EngineWaitUs(load(offer.upstream), offer.slots);
+  int64_t wait_us = offer.cost_us +
+                    EngineWaitUs(load(offer.upstream), offer.slots, turn_us());
   const auto found = event_us_.find(offer.upstream);
-  if (found != event_us_.end()) {
-    wait_us +=
-        std::max<int64_t>(found->second - median_event_us, 0) * kEventsPerTurn;
+  if (found != event_us_.end() && median_event_us > 0) {
+    // A turn takes longer in proportion to the time between its events.
+    wait_us += std::max<int64_t>(found->second - median_event_us, 0) *
+               turn_us() / median_event_us;
   }
   return wait_us;
 }
@@ -73,10 +78,10 @@
 std::optional<LoadBalancer::Placement> LoadBalancer::Place(
     const std::string& turn,
     const std::vector<UpstreamOffer>& offers,
+    int64_t now_ms,
     int64_t expires_ms) {
   if (const auto found = turns_.find(turn); found != turns_.end()) {
-    return Placement{found->second.upstream,
-                     load(found->second.upstream) - 1};
+    return Placement{found->second.upstream, load(found->second.upstream) - 1};
   }
   if (offers.empty()) {
     return std::nullopt;
@@ -92,14 +97,13 @@
     }
   }
   const Placement placement{best->upstream, load(best->upstream)};
-  turns_[turn] = {best->upstream, expires_ms};
+  turns_[turn] = {best->upstream, expires_ms, now_ms,
+                  placement.load >= best->slots};
   ++loads_[best->upstream];
   return placement;
 }
 
-void LoadBalancer::End(const std::string& turn,
-                       uint32_t upstream,
-                       int64_t event_us) {
+void LoadBalancer::Cancel(const std::string& turn) {
   const auto found = turns_.find(turn);
   if (found != turns_.end()) {
     const auto load = loads_.find(found->second.upstream);
@@ -108,6 +112,19 @@
     }
     turns_.erase(found);
   }
+}
+
+void LoadBalancer::End(const std::string& turn,
+                       uint32_t upstream,
+                       int64_t event_us,
+                       int64_t now_ms) {
+  const auto found = turns_.find(turn);
+  // Only turns with events tell how long a turn takes.
+  if (found != turns_.end() && event_us > 0 && !found->second.queued &&
+      now_ms > found->second.placed_ms) {
+    turn_us_.Add((now_ms - found->second.placed_ms) * kUsPerMs);
+  }
+  Cancel(turn);
   if (event_us > 0) {
     const auto [mean, first] = event_us_.try_emplace(upstream, event_us);
     if (!first) {
@@ -122,7 +139,7 @@
   for (auto it = turns_.begin(); it != turns_.end();) {
     const auto turn = it++;
     if (turn->second.expires_ms < now_ms) {
-      End(std::string(turn->first), 0, 0);
+      Cancel(std::string(turn->first));
     }
   }
   std::vector<int64_t> known;
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -149,7 +149,7 @@
   }
   const auto previous_turn = turns_.find(previous);
   if (!previous.empty() && previous_turn == turns_.end()) {
-    load_balancer_.End(turn, 0, 0);
+    load_balancer_.Cancel(turn);
     return Result(fb::StateCode::UnknownTurn);
   }
   const std::string program_id = StringFrom(command.program());
@@ -163,7 +163,7 @@
       const int64_t reservation =
           command.max_tokens() > 0 ? command.max_tokens() : available;
       if (available <= 0 || reservation > available) {
-        load_balancer_.End(turn, 0, 0);
+        load_balancer_.Cancel(turn);
         return Result(fb::StateCode::BudgetSpent);
       }
       program.open[turn] = reservation;
@@ -200,7 +200,7 @@
     }
     offers.push_back({offer->upstream(), cost * kCostUnitUs, offer->slots()});
   }
-  return load_balancer_.Place(StringFrom(command.turn()), offers,
+  return load_balancer_.Place(StringFrom(command.turn()), offers, now_ms,
                               now_ms + command.wait_ms());
 }
 
@@ -241,7 +241,7 @@
 fb::StateResultT RingStateMachine::Impl::Finish(const fb::FinishTurn& command) {
   load_balancer_.End(StringFrom(command.turn()),
                      UpstreamKey(TextOf(command.upstream())),
-                     command.event_us());
+                     init_.upstream_speed ? command.event_us() : 0, now_ms_);
   const auto found = programs_.find(StringFrom(command.program()));
   if (found != programs_.end()) {
     Program& program = found->second;
--- a/tests/gateway_placement_test.cc
+++ b/tests/gateway_placement_test.cc
@@ -108,5 +108,32 @@
   EXPECT_EQ(offers[0].upstream, UpstreamKey("well"));
 }
 
+// Guards against placement by the delays of one deployment: the same load is
+// worth another failure domain where the link is fast, and not where it is
+// slow.
+TEST_F(PlacementTest, ObservedRoundTrip_DecidesHowMuchLoadADomainIsWorth) {
+  input_.engine = false;
+  input_.service_us = 20'000;
+  input_.candidates = {Near("near", 8), Near("far")};
+  input_.candidates[1].same_domain = false;
+  input_.candidates[0].round_trip_us = 400;
+  input_.candidates[1].round_trip_us = 1'000;
+  EXPECT_EQ(Choose(), "far");
+  input_.candidates[1].round_trip_us = 30'000;
+  EXPECT_EQ(Choose(), "near");
+}
+
+// Guards against wandering chains where prompts are slow to process, and
+// against queues at the engine of a chain where they are fast.
+TEST_F(PlacementTest, ObservedPrefill_DecidesHowMuchACacheIsWorth) {
+  input_.service_us = 220'000;
+  input_.candidates = {Near("idle"), Near("cached", 12)};
+  input_.candidates[1].cached_tokens = 1'500;
+  input_.prefill_ns_per_token = 1'000;
+  EXPECT_EQ(Choose(), "idle");
+  input_.prefill_ns_per_token = 40'000;
+  EXPECT_EQ(Choose(), "cached");
+}
+
 }  // namespace
 }  // namespace ring
--- a/tests/state_load_test.cc
+++ b/tests/state_load_test.cc
@@ -25,7 +25,7 @@
   uint32_t Place(const std::string& turn,
                  const std::vector<UpstreamOffer>& offers,
                  int64_t expires_ms = kNeverMs) {
-    return balancer_.Place(turn, offers, expires_ms)->upstream;
+    return balancer_.Place(turn, offers, 0, expires_ms)->upstream;
   }
 
   LoadBalancer balancer_;
@@ -57,8 +57,8 @@
   const auto offers = OffersOf({0});
   Place("a", offers);
   Place("b", offers, 1'000);
-  balancer_.End("a", 1, 0);
-  balancer_.End("a", 1, 0);
+  balancer_.End("a", 1, 0, 0);
+  balancer_.End("a", 1, 0, 0);
   EXPECT_EQ(balancer_.load(1), 1);
   balancer_.Expire(1'001);
   EXPECT_EQ(balancer_.load(1), 0);
@@ -78,19 +78,19 @@
   for (uint32_t upstream = 1; upstream <= 3; ++upstream) {
     const std::string turn = "first" + std::to_string(upstream);
     Place(turn, offers);
-    balancer_.End(turn, upstream, upstream == 1 ? 80'000 : 20'000);
+    balancer_.End(turn, upstream, upstream == 1 ? 80'000 : 20'000, 0);
   }
   EXPECT_NE(Place("after", offers), 1u);
   constexpr int kSeconds = 60;
   for (int i = 0; i < kSeconds; ++i) {
     balancer_.Expire(0);
   }
-  balancer_.End("after", 2, 20'000);
+  balancer_.End("after", 2, 20'000, 0);
   EXPECT_EQ(Place("later", offers), 1u);
 }
 
 TEST_F(LoadBalancerTest, NoOffers_NoPlacement) {
-  EXPECT_EQ(balancer_.Place("a", {}, kNeverMs), std::nullopt);
+  EXPECT_EQ(balancer_.Place("a", {}, 0, kNeverMs), std::nullopt);
 }
 
 struct BurstResult {
@@ -162,7 +162,7 @@
       --local[entry_of[turn]][engine];
       if (balancer != nullptr) {
         balancer->End(turn, static_cast<uint32_t>(engine + 1),
-                      engines.TurnMs(engine) * 1'000 / kEventsPerTurn);
+                      engines.TurnMs(engine) * 1'000 / kEventsPerTurn, now_ms);
       }
       running.erase(running.begin());
     }
@@ -180,7 +180,8 @@
     }
     size_t engine = 0;
     if (balancer != nullptr) {
-      engine = balancer->Place(turn, offers, now_ms + 4'000)->upstream - 1;
+      engine =
+          balancer->Place(turn, offers, now_ms, now_ms + 4'000)->upstream - 1;
     } else {
       for (size_t i = 1; i < load.engines; ++i) {
         if (std::pair(local[entry][i], offers[i].cost_us) <
@@ -231,5 +232,30 @@
   }
 }
 
+// Guards against weighing queues by the turns of one deployment.
+TEST_F(LoadBalancerTest, TurnsOfThreeSpeeds_TimeOfATurnIsObserved) {
+  for (const int64_t turn_ms : {40, 250, 3'000}) {
+    LoadBalancer balancer;
+    for (int i = 0; i < 200; ++i) {
+      const std::string turn = std::to_string(i);
+      balancer.Place(turn, OffersOf({0}), i * turn_ms, kNeverMs);
+      balancer.End(turn, 1, 10'000, (i + 1) * turn_ms);
+    }
+    EXPECT_GT(balancer.turn_us(), turn_ms * 600);
+    EXPECT_LT(balancer.turn_us(), turn_ms * 1'600);
+  }
+}
+
+// Guards against counting the wait at a full engine as the time of a turn.
+TEST_F(LoadBalancerTest, QueuedTurns_DoNotLengthenTheObservedTurn) {
+  for (int i = 0; i < 20; ++i) {
+    balancer_.Place(std::to_string(i), OffersOf({0}, 6), 0, kNeverMs);
+  }
+  for (int i = 6; i < 20; ++i) {
+    balancer_.End(std::to_string(i), 1, 10'000, 50'000);
+  }
+  EXPECT_EQ(balancer_.turn_us(), ObservedTimes::kTurnUs);
+}
+
 }  // namespace
 }  // namespace ring
