Play turns while the leader is lost against the election timeout

ReplicaElectionLoad plays a turn at every tick, cuts the leader off and checks that the group commits again within 30 ticks, with a longest timeout of 60 to 120; twenty seeds.

--- a/tests/log_cluster.h
+++ b/tests/log_cluster.h
@@ -42,8 +42,9 @@
   };
 
   explicit LogCluster(uint64_t seed,
-                      const std::vector<ReplicaId>& voters = {1, 2, 3})
-      : seed_(seed), rng_(seed) {
+                      const std::vector<ReplicaId>& voters = {1, 2, 3},
+                      int32_t min_election_ticks = 0)
+      : seed_(seed), min_election_ticks_(min_election_ticks), rng_(seed) {
     for (const ReplicaId id : voters) {
       initial_.push_back({id, NodeName(id), true});
     }
@@ -72,7 +73,8 @@
     Replica::Init init;
     init.id = id;
     init.heartbeat_ticks = 2;
-    init.election_ticks = 10;
+    init.election_ticks = min_election_ticks_ > 0 ? 60 : 10;
+    init.min_election_ticks = min_election_ticks_;
     init.seed = seed_ * 100 + id;
     init.max_snapshot_chunk = 16;
     init.max_append_bytes = 64;
@@ -302,6 +304,7 @@
   }
 
   const uint64_t seed_;
+  const int32_t min_election_ticks_;
   Rng rng_;
   std::vector<Member> initial_;
   std::map<ReplicaId, Node> nodes_;
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -476,5 +476,34 @@
   EXPECT_LE(replica_.status().election_ticks, 15);
 }
 
+// Plays turns that begin at every tick while the leader is cut off. Guards
+// against callers that wait for a whole election timeout: with heartbeats every
+// two ticks the pause must stay far below the longest timeout of 60 to 120.
+TEST(ReplicaElectionLoad, LeaderLostUnderLoad_TurnsPauseBriefly) {
+  constexpr int32_t kMinTicks = 6;
+  constexpr int kMaxPauseTicks = 30;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    LogCluster cluster(seed, {1, 2, 3}, kMinTicks);
+    const ReplicaId leader = cluster.WaitLeader();
+    for (int i = 0; i < 100; ++i) {
+      ASSERT_TRUE(cluster.Commit("before" + std::to_string(i)));
+      cluster.Tick();
+    }
+    const uint64_t term = cluster.replica(leader).status().term;
+    cluster.Isolate(leader);
+    int pause = 0;
+    ReplicaId next = leader;
+    while (next == leader && pause <= kMaxPauseTicks) {
+      cluster.Tick();
+      ++pause;
+      next = cluster.Leader();
+    }
+    EXPECT_LE(pause, kMaxPauseTicks) << "seed " << seed;
+    ASSERT_NE(next, leader) << "seed " << seed;
+    EXPECT_GT(cluster.replica(next).status().term, term);
+    EXPECT_TRUE(cluster.Commit("after"));
+  }
+}
+
 }  // namespace
 }  // namespace ring
