Let an observed round trip of 0 ms rise again

Cause: the loop's clock has 1 ms, so a first connection to a near upstream may show 0, and a mean that moves by a bounded factor stays at 0 for good.

Change: a round trip is 0.1 ms at least. The new test failed before.

--- a/src/policy_observed.cc
+++ b/src/policy_observed.cc
@@ -22,9 +22,11 @@
 }
 
 void ObservedTimes::OnConnected(const std::string& domain, int64_t us) {
+  // Clocks of 1 ms show 0 for near upstreams; a mean of 0 could not rise.
+  constexpr int64_t kMinRoundTripUs = 100;
   const auto [it, added] =
       round_trips_.try_emplace(domain, BoundedMean::Init{.initial = us,
-                                                         .min = 0,
+                                                         .min = kMinRoundTripUs,
                                                          .max = kMaxRoundTripUs,
                                                          .rise_divisor = 8,
                                                          .fall_divisor = 8});
--- a/tests/policy_observed_test.cc
+++ b/tests/policy_observed_test.cc
@@ -65,6 +65,16 @@
             ObservedTimes::kPrefillNsPerToken);
 }
 
+// Guards against a first sample of 0 ms that fixes the round trip for good.
+TEST(ObservedTimesBadInput, FirstRoundTripIsZero_LaterOnesAreLearned) {
+  ObservedTimes times;
+  times.OnConnected("domain", 0);
+  for (int i = 0; i < 50; ++i) {
+    times.OnConnected("domain", 16'000);
+  }
+  EXPECT_GT(*times.RoundTripUs("domain"), 12'000);
+}
+
 // Guards against requests that waited in a queue and make prompts look dear.
 TEST(ObservedTimesQueue, HalfOfThePromptsWaited_FigureStaysLow) {
   ObservedTimes times;
