--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -12,6 +12,19 @@
   return 0;
 }
 
+// A replica of a new group that has just started.
+DurableState StateOfThreeVoters() {
+  DurableState state;
+  state.snapshot.index = 1;
+  state.snapshot.term = 1;
+  state.snapshot.config.members = {
+      {1, "a", true}, {2, "b", true}, {3, "c", true}};
+  state.hard_state.term = 1;
+  state.start_index = 1;
+  state.start_term = 1;
+  return state;
+}
+
 // Guards against a group that loses or reorders committed entries.
 TEST(ReplicaCommit, ThreeReplicas_ApplySameEntriesEverywhere) {
   LogCluster cluster(1);
@@ -358,14 +371,7 @@
 // Guards against a restart of the whole group that waits for an election
 // timeout although a majority of the voters is connected.
 TEST(ReplicaFirstElection, MajorityReachable_LowestIdCampaignsAtTheNextTick) {
-  DurableState state;
-  state.snapshot.index = 1;
-  state.snapshot.term = 1;
-  state.snapshot.config.members = {
-      {1, "a", true}, {2, "b", true}, {3, "c", true}};
-  state.hard_state.term = 1;
-  state.start_index = 1;
-  state.start_term = 1;
+  const DurableState state = StateOfThreeVoters();
   const auto ticks_until_campaign = [&state](ReplicaId id, ReplicaId peer) {
     Replica replica(
         {.id = id, .election_ticks = 300, .first_election_ticks = 100}, state);
@@ -394,19 +400,7 @@
       : replica_({.id = 2,
                   .election_ticks = kMaxTicks,
                   .min_election_ticks = kMinTicks},
-                 InitialState()) {}
-
-  static DurableState InitialState() {
-    DurableState state;
-    state.snapshot.index = 1;
-    state.snapshot.term = 1;
-    state.snapshot.config.members = {
-        {1, "a", true}, {2, "b", true}, {3, "c", true}};
-    state.hard_state.term = 1;
-    state.start_index = 1;
-    state.start_term = 1;
-    return state;
-  }
+                 StateOfThreeVoters()) {}
 
   /// Passes time until the next heartbeat of the leader.
   /// @returns false if the replica campaigned meanwhile
