--- a/review/standins/ring.py
+++ b/review/standins/ring.py
@@ -36,9 +36,9 @@
     def now(self):
         return time.monotonic() - self.start
 
-    def add(self, what, **fields):
+    def add(self, event, /, **fields):
         text = " ".join(f"{key}={value}" for key, value in fields.items())
-        self.file.write(f"{self.now():8.3f} {what} {text}\n")
+        self.file.write(f"{self.now():8.3f} {event} {text}\n")
         self.file.flush()
 
 
@@ -201,7 +201,7 @@
             record.add("BROKEN", text=text)
             print(f"BROKEN {text}")
         code = BROKEN if broken else HELD
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # Anything unexpected says nothing about the rule.
         record.add("cannot_run", error=f"{type(error).__name__} {error}")
         print(f"could not run: {type(error).__name__} {error}")
     finally:
