--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -259,8 +259,9 @@
             self.record.add("no_answer", request=request,
                             error=f"{type(error).__name__}:{error}".replace(" ", "_"))
             return 0, {}, b""
+        more = {"retry_after": answer["retry-after"]} if "retry-after" in answer else {}
         self.record.add("answer", request=request, status=status, body_bytes=len(text),
-                        sealed=int("persimmonring-response-seal" in answer))
+                        sealed=int("persimmonring-response-seal" in answer), **more)
         return status, answer, text
 
     async def turn(self, entry, program, text, previous="", budget=2304, most=288,
