Log which request an answer names, its signature and how it ends

The request line did not tell why an answer was taken as the caller's own, nor why one without a length was taken as complete. It now holds the request id that the answer names, whether it carries the upstream's signature, the number of the request on its connection, whether the body ends with the connection, and the errno of the first send that failed there. foreign_answer tells status and exchange. No decision changes.

--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -174,7 +174,8 @@
 struct UpstreamResponse {
   /// Id of the request that this responds to; may be empty.
   std::string request_id;
-  bool not_run = false;  ///< The upstream did not execute the request.
+  bool has_signature = false;  ///< Present on every success.
+  bool not_run = false;        ///< The upstream did not execute the request.
   /// The address now belongs to another instance.
   bool other_instance = false;
   /// Instance that responds to a health check; may be empty.
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -167,6 +167,8 @@
   bool connected() const { return connected_; }
   bool closed() const { return fd_ < 0; }
   size_t unsent_bytes() const { return out_.size() - out_offset_; }
+  /// @returns the errno of the first send that failed; 0: none has failed
+  int send_error() const { return send_error_; }
 
   void OnIo(uint32_t events) override;
 
@@ -174,6 +176,9 @@
   TcpConnection(EventLoop& loop, const Init& init, int fd, bool connected);
   void SetSocketOptions(const Init& init) const;
   void ReadAvailable();
+  /// Sends bytes without blocking and records the error if that fails.
+  /// @returns number of bytes that the kernel accepted
+  size_t SendBytes(std::string_view bytes);
   void Flush();
   void UpdateInterest();
   void End(CloseKind kind);
@@ -185,6 +190,7 @@
   bool reading_ = true;
   bool close_after_write_ = false;
   uint32_t interest_ = 0;
+  int send_error_ = 0;
   std::string out_;
   size_t out_offset_ = 0;
 };
@@ -496,6 +502,8 @@
   int64_t keep_alive_ms() const { return keep_alive_ms_; }
   /// @returns the number of requests sent on this connection
   uint64_t exchanges() const { return exchanges_; }
+  /// See TcpConnection::send_error().
+  int send_error() const { return connection_->send_error(); }
   /// @returns time in which the connection was established, ms
   int64_t connect_ms() const { return connect_ms_; }
   /// Sets a callback for an idle connection that has become unusable.
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -250,6 +250,9 @@
   ++sends_;
   streaming_ = false;
   answer_ = {};
+  exchange_ = 0;
+  ends_by_close_ = false;
+  send_error_ = 0;
   // Opens a new connection for a repeated attempt at the same upstream: on a
   // kept connection, a duplicate of the first response would carry the same
   // request id.
@@ -333,6 +336,7 @@
   if (!connection_) {
     return;
   }
+  send_error_ = connection_->send_error();
   if (reuse) {
     gateway_.pool().Release(upstream_.address, std::move(connection_));
   } else {
@@ -481,7 +485,12 @@
       .Add("begun_ms", begun_ms_)
       .Add("sent_ms", sent_ms_)
       .Add("head_ms", head_ms_)
-      .Add("took_ms", took_ms);
+      .Add("took_ms", took_ms)
+      .Add("exchange", exchange_)
+      .Add("answers", answer_.request_id)
+      .Add("signed", answer_.has_signature)
+      .Add("ends_by_close", ends_by_close_)
+      .Add("send_error", send_error_);
   if (refusal.reason != Reason::kNone) {
     event.Add("digest", digest_);
   }
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -49,7 +49,9 @@
     Event(LogLevel::kWarn, "foreign_answer")
         .Add("request", info_.id)
         .Add("upstream", upstream_.instance)
-        .Add("answers", answer.request_id);
+        .Add("answers", answer.request_id)
+        .Add("status", head.status)
+        .Add("exchange", connection_->exchanges());
     if (++foreign_answers_ > kMaxForeignAnswers || answer.request_id.empty()) {
       OnExchangeFailed(ExchangeFailure::kMalformed);
     }
@@ -59,6 +61,8 @@
   slow_response_timer_.Stop();
   answer_ = answer;
   status_ = head.status;
+  exchange_ = connection_->exchanges();
+  ends_by_close_ = head.until_close;
   streaming_ = is_stream() && !answer.not_run && !answer.other_instance &&
                head.status < kFirstErrorStatus;
   if (!forwarding_) {
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -314,6 +314,9 @@
   int status_ = 0;
   bool streaming_ = false;  ///< The response is an event stream.
   int32_t foreign_answers_ = 0;
+  uint64_t exchange_ = 0;       ///< Number of the request on its connection.
+  bool ends_by_close_ = false;  ///< The end of the connection ends the body.
+  int send_error_ = 0;          ///< See TcpConnection::send_error().
 
   // The response to the caller.
   HttpHead head_;
--- a/src/net_tcp.cc
+++ b/src/net_tcp.cc
@@ -132,15 +132,23 @@
   }
 }
 
+size_t TcpConnection::SendBytes(std::string_view bytes) {
+  const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  if (sent >= 0) {
+    return static_cast<size_t>(sent);
+  }
+  if (send_error_ == 0 && errno != EAGAIN && errno != EINTR) {
+    send_error_ = errno;
+  }
+  return 0;
+}
+
 void TcpConnection::Write(std::string_view bytes) {
   if (fd_ < 0) {
     return;
   }
   if (connected_ && unsent_bytes() == 0) {
-    const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    if (sent > 0) {
-      bytes.remove_prefix(static_cast<size_t>(sent));
-    }
+    bytes.remove_prefix(SendBytes(bytes));
     // Errors are reported by the next epoll event.
   }
   if (!bytes.empty()) {
@@ -151,12 +159,11 @@
 
 void TcpConnection::Flush() {
   while (unsent_bytes() > 0) {
-    const ssize_t sent =
-        send(fd_, out_.data() + out_offset_, unsent_bytes(), MSG_NOSIGNAL);
-    if (sent <= 0) {
+    const size_t sent = SendBytes(std::string_view(out_).substr(out_offset_));
+    if (sent == 0) {
       break;
     }
-    out_offset_ += static_cast<size_t>(sent);
+    out_offset_ += sent;
   }
   if (unsent_bytes() == 0) {
     out_.clear();
