Deliver only answers that name the request and, as a success, are signed

The same bytes on a later exchange of the connection got 502.

Hypotheses: (1) an answer without a request id counts as the caller's own on the first exchange of its connection; (2) the bytes carry the id, left over from the request's head or a decoder; (3) the entry knows no id of the request and then accepts any answer. That nothing looks at the signature is a second gap of the same rule: an unsigned success with the right id passed too.

Cause: GatewayCall::IsOwnAnswer() inferred the owner of an answer from its position on the connection, and no code checked the signature that every success carries. Upstreams echo the id in all answers, so position is no evidence.

Fix: an answer is the caller's own only if it names the request's id. A success without a signature is malformed: event unsigned_answer and a counter; 502, or another attempt where the route allows one. The check sits where the head is decoded, before buffered and streamed answers, refusals and resumed streams part, so that it covers all of them; errors of upstreams, which need no signature, are delivered as before. The other data path (entry_*) opens a connection for each call and checks an attempt id in each event.

The scripted upstreams of the fixture now sign their successes, as upstreams do.

--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -27,13 +27,10 @@
 
 }  // namespace
 
-// Returns true if the response belongs to the request of this call.
+// Returns true if the response belongs to the request of this call. Upstreams
+// echo the request id; bytes without it belong to no request, whatever their
+// position on the connection.
 bool GatewayCall::IsOwnAnswer(const UpstreamResponse& answer) const {
-  if (answer.request_id.empty()) {
-    // On a reused connection, a response without an id may belong to an earlier
-    // request.
-    return info_.id.empty() || connection_->exchanges() <= 1;
-  }
   return answer.request_id == info_.id;
 }
 
@@ -57,6 +54,16 @@
     }
     return false;
   }
+  if (head.status < kFirstErrorStatus && !answer.has_signature) {
+    metrics::Count("ring_upstream_unsigned_answers_total");
+    Event(LogLevel::kWarn, "unsigned_answer")
+        .Add("request", info_.id)
+        .Add("upstream", upstream_.instance)
+        .Add("status", head.status)
+        .Add("exchange", connection_->exchanges());
+    OnExchangeFailed(ExchangeFailure::kMalformed);
+    return false;
+  }
   attempt_timer_.Stop();
   slow_response_timer_.Stop();
   answer_ = answer;
--- /dev/null
+++ b/tests/gateway_answer_test.cc
@@ -0,0 +1,138 @@
+#include "tests/gateway_fixture.h"
+
+namespace ring {
+namespace {
+
+using fakes::ScriptedReply;
+using Then = ScriptedReply::Then;
+
+/// Path of a request and whether it is the first one on its connection to the
+/// upstream.
+struct ExchangeCase {
+  const char* path;
+  bool first_on_connection;
+};
+
+/// Runs one tool and one engine that answer requests with "spoil" in their id
+/// by a given script and all others correctly.
+class GatewayAnswerTest : public GatewayCallTest,
+                          public testing::WithParamInterface<ExchangeCase> {
+ protected:
+  using Script = fakes::ScriptedUpstream::Script;
+
+  void Serve(const Script& spoiled) {
+    const auto serve = [spoiled](const Script& sound) {
+      return [spoiled, sound](const std::string& request) {
+        return request.find("spoil") == std::string::npos ? sound(request)
+                                                          : spoiled(request);
+      };
+    };
+    ServeTool(serve([](const std::string& request) {
+      return ScriptedReply{{FullResponse(200, request, "ok")}};
+    }));
+    ServeEngine(serve(
+        [](const std::string& request) { return Events(request, {"one"}); }));
+    ConfigureAll();
+  }
+
+  /// Sends the request that is answered by the script.
+  CallerResponse SendSpoiled() {
+    const std::string path = GetParam().path;
+    if (!GetParam().first_on_connection) {
+      EXPECT_EQ(Post(path, "Request-Id: before", "x").status(), 200);
+    }
+    return Post(path, "Request-Id: spoil", "x");
+  }
+  /// Expects that the caller is told of a failure that may have run, and that a
+  /// request that may run only once reached the upstream only once.
+  void ExpectFailedUnknown(const CallerResponse& answer) {
+    EXPECT_EQ(answer.status(), 502) << answer.text;
+    EXPECT_EQ(answer.text.find("nonsense"), std::string::npos);
+    const std::string path = GetParam().path;
+    if (path == "/order/1" || path == "/talk/1" || path == "/turn/1") {
+      EXPECT_EQ(Requests(), GetParam().first_on_connection ? 1u : 2u);
+    }
+  }
+};
+
+std::string CaseName(const testing::TestParamInfo<ExchangeCase>& info) {
+  const std::string path = info.param.path;
+  return path.substr(1, path.find('/', 1) - 1) +
+         (info.param.first_on_connection ? "First" : "Later");
+}
+
+INSTANTIATE_TEST_SUITE_P(Exchanges,
+                         GatewayAnswerTest,
+                         testing::Values(ExchangeCase{"/read/1", true},
+                                         ExchangeCase{"/read/1", false},
+                                         ExchangeCase{"/order/1", true},
+                                         ExchangeCase{"/order/1", false},
+                                         ExchangeCase{"/turn/1", true},
+                                         ExchangeCase{"/talk/1", true},
+                                         ExchangeCase{"/talk/1", false},
+                                         ExchangeCase{"/review/1", true},
+                                         ExchangeCase{"/review/1", false}),
+                         CaseName);
+
+// Guards against delivering bytes as a success that name no request.
+TEST_P(GatewayAnswerTest, SuccessWithoutId_IsNotDelivered) {
+  Serve([](const std::string&) {
+    return ScriptedReply{{FullResponse(200, "", "nonsense\n")}};
+  });
+  ExpectFailedUnknown(SendSpoiled());
+}
+
+// Guards against delivering a success that the upstream did not sign.
+TEST_P(GatewayAnswerTest, SuccessWithoutSignature_IsNotDelivered) {
+  Serve([](const std::string& request) {
+    return ScriptedReply{{"HTTP/1.1 200 OK\r\n" + RequestIdLine(request) +
+                          "Content-Length: 9\r\n\r\nnonsense\n"}};
+  });
+  ExpectFailedUnknown(SendSpoiled());
+}
+
+// Guards against reporting a request as not executed, or running it again,
+// because of a refusal that names no request.
+TEST_P(GatewayAnswerTest, RefusalWithoutId_IsNotBelieved) {
+  Serve([](const std::string&) {
+    return ScriptedReply{
+        {FullResponse(503, "", "", "Persimmonring-Not-Executed: 1\r\n")}};
+  });
+  ExpectFailedUnknown(SendSpoiled());
+}
+
+// Guards against withholding errors of an upstream, which carry no signature.
+TEST_P(GatewayAnswerTest, ErrorWithoutSignature_IsDelivered) {
+  Serve([](const std::string& request) {
+    return ScriptedReply{{FullResponse(418, request, "body")}};
+  });
+  const CallerResponse answer = SendSpoiled();
+  EXPECT_EQ(answer.status(), 418);
+  EXPECT_TRUE(answer.text.ends_with("\r\n\r\nbody"));
+}
+
+// Guards against resuming a stream with events that the upstream did not sign.
+TEST_F(GatewayCallTest, ResumedStreamWithoutSignature_IsNotJoined) {
+  std::atomic<int> asked{0};
+  const auto script = [&asked](const std::string& request) {
+    ScriptedReply reply = Events(request, {"one", "two"});
+    if (asked.fetch_add(1) == 0) {
+      reply.pieces.resize(2);
+      reply.then = Then::kReset;
+      return reply;
+    }
+    std::string& head = reply.pieces[0];
+    head.erase(head.find(kSignatureLine), std::string(kSignatureLine).size());
+    reply.pieces.erase(reply.pieces.begin() + 1);
+    return reply;
+  };
+  ServeEngine(script);
+  ServeEngine(script);
+  ConfigureAll();
+  const CallerResponse answer = Post("/review/1", "Request-Id: r1", "in");
+  EXPECT_FALSE(IsComplete(answer.text));
+  EXPECT_EQ(answer.text.find("data: two"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace ring
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -32,6 +32,9 @@
 class GatewayTest : public testing::Test {
  protected:
   static constexpr int64_t kTimeoutMs = 5'000;
+  /// Every success of an upstream carries its signature.
+  static constexpr char kSignatureLine[] =
+      "Persimmonring-Response-Seal: signature\r\n";
 
   /// @param grace_ms time from the stop request until the entry is killed
   explicit GatewayTest(int64_t grace_ms = 8'000)
@@ -209,13 +212,16 @@
                                   const std::string& request,
                                   const std::string& body,
                                   const std::string& headers = "") {
+    constexpr int kFirstErrorStatus = 300;
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" +
-           RequestIdLine(request) + headers +
+           RequestIdLine(request) +
+           (status < kFirstErrorStatus ? kSignatureLine : "") + headers +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
   static std::string StreamHead(const std::string& request) {
     return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-           RequestIdLine(request) + "Transfer-Encoding: chunked\r\n\r\n";
+           RequestIdLine(request) + kSignatureLine +
+           "Transfer-Encoding: chunked\r\n\r\n";
   }
   static std::string Chunk(const std::string& bytes) {
     char size[16];
