Report a reset that a failed send has noticed

What callers saw: a server answered a long order before it had read it, without a length, and its connection was reset in the middle of the answer.

Hypotheses: (1) a send of the unsent rest of the request takes ECONNRESET from the socket, recv() then returns 0, and the reset passes as an orderly end; (2) the server's end of the stream really comes before the reset; (3) the HTTP client takes any end of a connection as the end of such an answer.

Cause: TcpConnection dropped the error of a failed send, in the belief that the next event reports it. The kernel reports a socket error once.

Fix: the connection keeps the errno of the first failed send, and an end of the stream after it counts as a reset. EPIPE is left out: it says that the peer had sent the end of its stream before, so an early answer without a length that ended in an orderly way is delivered, also if the server then resets the connection because of the unread request. Both places that send, Write() and Flush(), share the code, so that it covers buffered and streamed answers, first and later exchanges, health checks, and the connections of callers and of control.

--- a/fakes/scripted_upstream.h
+++ b/fakes/scripted_upstream.h
@@ -21,6 +21,11 @@
     kClose,  ///< Closes the connection normally.
     kReset,
     kStall,  ///< Keeps the connection open and sends nothing more.
+    /// Sends the end of the stream and reads the rest of the request.
+    kHalfClose,
+    /// Sends the end of the stream and closes with unread bytes, which makes
+    /// the kernel send a reset as well.
+    kHalfCloseAndReset,
   };
   std::vector<std::string> pieces;  ///< Each sent as a separate segment.
   Then then = Then::kKeep;
@@ -31,9 +36,23 @@
 class ScriptedUpstream {
  public:
   using Script = std::function<ScriptedReply(const std::string& request)>;
+  /// When an upstream answers a request.
+  enum class Answers : uint8_t {
+    kAfterBody,
+    kAfterHead,  ///< Leaves the rest of the request unread until it has.
+  };
 
-  explicit ScriptedUpstream(Script script) : script_(std::move(script)) {
+  explicit ScriptedUpstream(Script script,
+                            Answers answers = Answers::kAfterBody)
+      : script_(std::move(script)), answers_(answers) {
     listen_fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    if (answers_ == Answers::kAfterHead) {
+      // A small window, so that the rest of a long request stays with its
+      // sender.
+      constexpr int kWindowBytes = 64 << 10;
+      setsockopt(listen_fd_, SOL_SOCKET, SO_RCVBUF, &kWindowBytes,
+                 sizeof(kWindowBytes));
+    }
     sockaddr_in address = {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -126,7 +145,8 @@
     }
   }
 
-  // @returns a complete request, or an empty string if the connection ended
+  // @returns a request, complete unless only its head is awaited, or an empty
+  // string if the connection ended
   std::string ReadRequest(int fd) {
     constexpr std::string_view kLength = "Content-Length: ";
     std::string text;
@@ -135,8 +155,9 @@
       const size_t head = text.find("\r\n\r\n");
       if (head != std::string::npos) {
         const size_t at = text.find(kLength);
-        const size_t body =
-            at < head ? std::stoul(text.substr(at + kLength.size())) : 0;
+        const size_t body = at < head && answers_ == Answers::kAfterBody
+                                ? std::stoul(text.substr(at + kLength.size()))
+                                : 0;
         if (text.size() >= head + 4 + body) {
           return text;
         }
@@ -180,9 +201,18 @@
         // Keeps TCP from merging consecutive pieces.
         std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
       }
-      if (reply.then == ScriptedReply::Then::kStall) {
-        char byte = 0;
-        while (!stop_.load() && !(Readable(fd) && recv(fd, &byte, 1, 0) <= 0)) {
+      if (reply.then == ScriptedReply::Then::kHalfClose ||
+          reply.then == ScriptedReply::Then::kHalfCloseAndReset) {
+        shutdown(fd, SHUT_WR);
+      }
+      if (reply.then == ScriptedReply::Then::kHalfCloseAndReset) {
+        break;
+      }
+      if (reply.then == ScriptedReply::Then::kStall ||
+          reply.then == ScriptedReply::Then::kHalfClose) {
+        char buffer[4'096];
+        while (!stop_.load() &&
+               !(Readable(fd) && recv(fd, buffer, sizeof(buffer), 0) <= 0)) {
         }
         closed_by_peer_.store(!stop_.load());
         break;
@@ -201,6 +231,7 @@
   }
 
   const Script script_;
+  const Answers answers_;
   int listen_fd_ = -1;
   Endpoint endpoint_;
   std::atomic<bool> stop_{false};
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -5,6 +5,7 @@
 /// used on the thread that runs their loop, except for methods documented as
 /// thread-safe.
 
+#include <cerrno>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -176,6 +177,10 @@
   TcpConnection(EventLoop& loop, const Init& init, int fd, bool connected);
   void SetSocketOptions(const Init& init) const;
   void ReadAvailable();
+  /// @returns true if a send has taken the error of a reset from the socket;
+  ///          recv() then reports an end of the stream. EPIPE is no such error:
+  ///          the peer had closed its side before, in an orderly way.
+  bool was_reset() const { return send_error_ != 0 && send_error_ != EPIPE; }
   /// Sends bytes without blocking and records the error if that fails.
   /// @returns number of bytes that the kernel accepted
   size_t SendBytes(std::string_view bytes);
--- a/src/net_tcp.cc
+++ b/src/net_tcp.cc
@@ -182,7 +182,7 @@
       listener_->OnBytes({buffer.data(), static_cast<size_t>(got)});
     }
   } else if (got == 0) {
-    End(CloseKind::kEof);
+    End(was_reset() ? CloseKind::kReset : CloseKind::kEof);
   } else if (errno != EAGAIN && errno != EINTR) {
     End(CloseKind::kReset);
   }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -359,17 +359,15 @@
 /// Adds upstreams and a configuration with a route of each kind.
 class GatewayCallTest : public GatewayTest {
  protected:
-  void ServeTool(fakes::ScriptedUpstream::Script script) {
-    upstreams_.push_back(
-        std::make_unique<fakes::ScriptedUpstream>(std::move(script)));
-    Announce("i-" + std::to_string(upstreams_.size()), "tool",
-             upstreams_.back()->endpoint());
+  using Answers = fakes::ScriptedUpstream::Answers;
+
+  void ServeTool(fakes::ScriptedUpstream::Script script,
+                 Answers answers = Answers::kAfterBody) {
+    ServeAs("tool", std::move(script), answers);
   }
-  void ServeEngine(fakes::ScriptedUpstream::Script script) {
-    upstreams_.push_back(
-        std::make_unique<fakes::ScriptedUpstream>(std::move(script)));
-    Announce("i-" + std::to_string(upstreams_.size()), "engine",
-             upstreams_.back()->endpoint());
+  void ServeEngine(fakes::ScriptedUpstream::Script script,
+                   Answers answers = Answers::kAfterBody) {
+    ServeAs("engine", std::move(script), answers);
   }
   void ConfigureAll() {
     Configure(
@@ -400,6 +398,16 @@
   }
 
   std::vector<std::unique_ptr<fakes::ScriptedUpstream>> upstreams_;
+
+ private:
+  void ServeAs(const std::string& service,
+               fakes::ScriptedUpstream::Script script,
+               Answers answers) {
+    upstreams_.push_back(
+        std::make_unique<fakes::ScriptedUpstream>(std::move(script), answers));
+    Announce("i-" + std::to_string(upstreams_.size()), service,
+             upstreams_.back()->endpoint());
+  }
 };
 
 }  // namespace ring
