Show that an answer whose head was cut is not delivered

Report of another operator: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body. It cannot happen here: the parser reports an end of the connection inside a head as an error (HttpParserTest.ResponseHeadCutAnywhere_IsAnError, each byte), and the exchange then fails as one without a response, with 502 or another attempt, on new and used connections and for each kind of route (GatewayAnswerTest.HeadCutAtAnyPosition_IsNotDelivered).

--- a/tests/gateway_answer_test.cc
+++ b/tests/gateway_answer_test.cc
@@ -111,6 +111,28 @@
   EXPECT_TRUE(answer.text.ends_with("\r\n\r\nbody"));
 }
 
+// Guards against delivering an answer whose upstream closed the connection in
+// the middle of the head.
+TEST_P(GatewayAnswerTest, HeadCutAtAnyPosition_IsNotDelivered) {
+  constexpr size_t kStep = 7;
+  std::string head;
+  std::atomic<size_t> cut{0};
+  Serve([&](const std::string& request) {
+    const std::string whole = head + RequestIdLine(request) + kSignatureLine;
+    return ScriptedReply{{whole.substr(0, cut)}, Then::kClose};
+  });
+  for (const char* framing :
+       {"", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    head = std::string("HTTP/1.1 200 OK\r\n") + framing;
+    const size_t whole_bytes = head.size() +
+                               sizeof("Persimmonring-Request-Id: spoil\r\n") -
+                               1 + sizeof(kSignatureLine) - 1;
+    for (cut = whole_bytes % kStep; cut <= whole_bytes; cut += kStep) {
+      EXPECT_EQ(SendSpoiled().status(), 502) << framing << cut;
+    }
+  }
+}
+
 // Guards against resuming a stream with events that the upstream did not sign.
 TEST_F(GatewayCallTest, ResumedStreamWithoutSignature_IsNotJoined) {
   std::atomic<int> asked{0};
--- a/tests/net_http_test.cc
+++ b/tests/net_http_test.cc
@@ -83,6 +83,23 @@
   EXPECT_EQ(cut.FeedEof().state, State::kError);
 }
 
+// Guards against taking a response whose head was cut for a complete one.
+TEST_F(HttpParserTest, ResponseHeadCutAnywhere_IsAnError) {
+  for (const char* framing :
+       {"", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    const std::string whole =
+        std::string("HTTP/1.1 200 OK\r\nA: b\r\n") + framing + "\r\n";
+    HttpParser parser(HttpParser::Kind::kResponse, recorder_, kMaxHeader);
+    for (size_t cut = 1; cut < whole.size(); ++cut) {
+      recorder_ = {};
+      parser.Reset();
+      EXPECT_EQ(parser.Feed(whole.substr(0, cut)).state, State::kMore) << cut;
+      EXPECT_EQ(parser.FeedEof().state, State::kError) << cut;
+      EXPECT_EQ(recorder_.ends_, 0) << cut;
+    }
+  }
+}
+
 // Guards against headers of unlimited size.
 TEST_F(HttpParserTest, HeadersBeyondTheLimit_AreAnError) {
   EXPECT_EQ(Request("GET / HTTP/1.1\r\nA: " + std::string(kMaxHeader, 'x')),
