Send requests without an id on connections of their own

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' for requests that ran, or such a request ran at a second server. One way was open: neither a request without an id nor the copy names anything, so the copy counted as the answer.

What a caller sees: an order without an id is executed twice. Hypotheses: (1) the copy is taken for the answer and the order, known as not run, is sent again; (2) the second run comes from the caller or from a lost connection. The test has one caller attempt, no connection ends, and the upstream's requests show the order after the copy on a second connection: (1).

Cause: kept connections rest on ids to tell answers apart, also where there is none. Fix: such requests get a new connection that is not kept.

The upstreams of the platform reject requests without an id, so there this could only cost an attempt.

--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -253,11 +253,12 @@
   exchange_ = 0;
   ends_by_close_ = false;
   send_error_ = 0;
-  // Opens a new connection for a repeated attempt at the same upstream: on a
-  // kept connection, a duplicate of the first response would carry the same
-  // request id.
-  connection_ = tried ? gateway_.pool().Open(upstream.address)
-                      : gateway_.pool().Acquire(upstream.address);
+  // On a kept connection, a duplicate of an earlier response is told from the
+  // own one by its request id only. Opens a new connection where that does not
+  // suffice: for repeated attempts, and for requests without an id.
+  connection_ = tried || info_.id.empty()
+                    ? gateway_.pool().Open(upstream.address)
+                    : gateway_.pool().Acquire(upstream.address);
   if (!connection_) {
     return RetryOrRefuse({Reason::kUpstreamRefused, RunState::kNotRun,
                           "no connection to the upstream could be opened",
@@ -337,7 +338,7 @@
     return;
   }
   send_error_ = connection_->send_error();
-  if (reuse) {
+  if (reuse && !info_.id.empty()) {
     gateway_.pool().Release(upstream_.address, std::move(connection_));
   } else {
     gateway_.pool().Discard(std::move(connection_));
--- a/tests/gateway_answer_test.cc
+++ b/tests/gateway_answer_test.cc
@@ -35,21 +35,26 @@
     ConfigureAll();
   }
 
-  /// Sends the request that is answered by the script.
-  CallerResponse SendSpoiled() {
+  /// Sends a request that is answered by the script.
+  CallerResponse Send(const std::string& id) {
     const std::string path = GetParam().path;
     if (!GetParam().first_on_connection) {
       EXPECT_EQ(Post(path, "Request-Id: before", "x").status(), 200);
     }
-    return Post(path, "Request-Id: spoil", "x");
+    return Post(path, "Request-Id: " + id, "x");
+  }
+  CallerResponse SendSpoiled() { return Send("spoil"); }
+  /// @returns true if the route allows one execution only
+  bool runs_once() const {
+    const std::string path = GetParam().path;
+    return path == "/order/1" || path == "/talk/1" || path == "/turn/1";
   }
   /// Expects that the caller is told of a failure that may have run, and that a
   /// request that may run only once reached the upstream only once.
   void ExpectFailedUnknown(const CallerResponse& answer) {
     EXPECT_EQ(answer.status(), 502) << answer.text;
     EXPECT_EQ(answer.text.find("nonsense"), std::string::npos);
-    const std::string path = GetParam().path;
-    if (path == "/order/1" || path == "/talk/1" || path == "/turn/1") {
+    if (runs_once()) {
       EXPECT_EQ(Requests(), GetParam().first_on_connection ? 1u : 2u);
     }
   }
@@ -101,6 +106,40 @@
   ExpectFailedUnknown(SendSpoiled());
 }
 
+// Guards against reporting a request as not executed, or running it again,
+// because its upstream repeats the refusal of an earlier request.
+TEST_P(GatewayAnswerTest, EarlierRefusalRepeated_IsNotBelieved) {
+  std::atomic<int> status{0};
+  std::atomic<bool> answers{true};
+  Serve([&](const std::string& request) {
+    const std::string copy =
+        FullResponse(status, "Persimmonring-Request-Id: before\r\n\r\n", "full",
+                     "Persimmonring-Not-Executed: 1\r\n");
+    if (!answers.load()) {
+      return ScriptedReply{{copy}, Then::kClose};
+    }
+    ScriptedReply reply = Events(request, {"one"});
+    reply.pieces.insert(reply.pieces.begin(), copy);
+    return reply;
+  });
+  int sent = 0;
+  const auto expect_status = [&](int expected) {
+    for (const int refusal : {503, 429, 421, 400}) {
+      status = refusal;
+      const std::string id = "spoil" + std::to_string(++sent);
+      const size_t before = Requests();
+      EXPECT_EQ(Send(id).status(), expected) << refusal;
+      const size_t warm_up = GetParam().first_on_connection ? 0 : 1;
+      if (expected == 200 || runs_once()) {
+        EXPECT_EQ(Requests() - before, warm_up + 1) << refusal;
+      }
+    }
+  };
+  expect_status(200);
+  answers = false;
+  expect_status(502);
+}
+
 // Guards against withholding errors of an upstream, which carry no signature.
 TEST_P(GatewayAnswerTest, ErrorWithoutSignature_IsDelivered) {
   Serve([](const std::string& request) {
@@ -133,6 +172,24 @@
   }
 }
 
+// Guards against believing a repeated refusal because neither it nor the
+// request has an id.
+TEST_F(GatewayCallTest, RefusalRepeatedToRequestWithoutId_IsNotBelieved) {
+  ServeTool([this](const std::string& request) {
+    const std::string answer = FullResponse(200, request, "ok");
+    if (BodyOf(request) == "pay" && upstreams_[0]->connections() == 1) {
+      return ScriptedReply{
+          {FullResponse(503, "", "", "Persimmonring-Not-Executed: 1\r\n"),
+           answer}};
+    }
+    return ScriptedReply{{answer}};
+  });
+  ConfigureAll();
+  EXPECT_EQ(Post("/order/1", "", "before").status(), 200);
+  EXPECT_EQ(Post("/order/1", "", "pay").status(), 200);
+  EXPECT_EQ(Requests(), 2u);
+}
+
 // Guards against resuming a stream with events that the upstream did not sign.
 TEST_F(GatewayCallTest, ResumedStreamWithoutSignature_IsNotJoined) {
   std::atomic<int> asked{0};
