Open a new connection for a repeated attempt at an address

What a caller sees: an order is executed twice, or is told 'not run' while it runs.

Hypotheses: (1) the copy belongs to another request and is not told apart; (2) it belongs to the same request, which was sent again on the same connection. (1) is ruled out by GatewayAnswerTest.EarlierRefusalRepeated_IsNotBelieved; for (2) the sources open a new connection if the instance was tried before. That check knows instances, the pool knows addresses: when a new instance has taken over the address, which answers 421 for the earlier one, the repeated attempt takes the connection on which the refusal came, and a copy of it names the request.

Fix: a call remembers the addresses it has sent to and opens a new connection for a further attempt at any of them.

Before: GatewayCallTest.RefusalRepeatedByNewInstanceAtAddress_IsNotBelieved failed in 4 of 4 runs: Requests() is 3, expected 2; the order ran on the second and the third. With the fix 3 of 3 runs pass, and all 178 tests of test_gateway.

--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -246,7 +246,8 @@
   load_ = placed.in_flight;
   candidates_ = placed.candidates;
   sent_ms_ = gateway_.loop().now_ms() - start_ms_;
-  const bool tried = !tried_.insert(upstream.instance).second;
+  tried_.insert(upstream.instance);
+  const bool sent_there = !tried_addresses_.insert(upstream.address).second;
   ++sends_;
   streaming_ = false;
   answer_ = {};
@@ -255,8 +256,9 @@
   send_error_ = 0;
   // On a kept connection, a duplicate of an earlier response is told from the
   // own one by its request id only. Opens a new connection where that does not
-  // suffice: for repeated attempts, and for requests without an id.
-  connection_ = tried || info_.id.empty()
+  // suffice: for repeated attempts at an address, which may belong to another
+  // instance by now, and for requests without an id.
+  connection_ = sent_there || info_.id.empty()
                     ? gateway_.pool().Open(upstream.address)
                     : gateway_.pool().Acquire(upstream.address);
   if (!connection_) {
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -302,7 +302,8 @@
   bool may_have_run_ = false;  ///< Some upstream may have executed the request.
   int32_t runs_ = 0;  ///< Number of upstreams that may have executed it.
   int32_t sends_ = 0;
-  std::set<std::string> tried_;
+  std::set<std::string> tried_;  ///< Instances.
+  std::set<Endpoint> tried_addresses_;
 
   // Times since the arrival of the request, for the log.
   int64_t begun_ms_ = 0;  ///< When the state group had answered.
--- a/tests/gateway_answer_test.cc
+++ b/tests/gateway_answer_test.cc
@@ -190,6 +190,27 @@
   EXPECT_EQ(Requests(), 2u);
 }
 
+// Guards against believing a repeated refusal of the same request, which a new
+// instance at the upstream's address gets on the connection of the earlier one.
+TEST_F(GatewayCallTest, RefusalRepeatedByNewInstanceAtAddress_IsNotBelieved) {
+  std::atomic<int> asked{0};
+  ServeTool([&](const std::string& request) {
+    const std::string refusal = FullResponse(421, request, "");
+    if (asked.fetch_add(1) == 0) {
+      Announce("i-new", "tool", upstreams_[0]->endpoint(), 2);
+      // The entry is informed by the keeper meanwhile.
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      return ScriptedReply{{refusal}};
+    }
+    const std::string answer = FullResponse(200, request, "ok");
+    return upstreams_[0]->connections() == 1 ? ScriptedReply{{refusal, answer}}
+                                             : ScriptedReply{{answer}};
+  });
+  ConfigureAll();
+  EXPECT_EQ(Post("/order/1", "Request-Id: r1", "pay").status(), 200);
+  EXPECT_EQ(Requests(), 2u);
+}
+
 // Guards against resuming a stream with events that the upstream did not sign.
 TEST_F(GatewayCallTest, ResumedStreamWithoutSignature_IsNotJoined) {
   std::atomic<int> asked{0};
