Refuse deeply nested documents before they are parsed

Report of another operator: another writer left an odd entry, very deeply nested; the machines that read it ended again and again. It can happen here.

What callers see: keepers that get such an announcement or configuration, or an entry that gets such an error from an upstream, end by themselves.

Hypotheses: (1) recursion of the parser or destructor; (2) recursion when a parsed value is copied; (3) memory for each level. A scratch program with the same library: parsing 100,000 levels takes 10 MB and ends; copying the value crashes; parsing 2,000,000 levels, which fit into the 4 MB that control accepts, takes 153 MB, more than a keeper has. So (2) and (3), not (1).

Cause: documents of other processes were parsed without a limit on their nesting. Only release notes had one. Copies are made of limits in a configuration, of the error of an upstream, and of members of completions and callers' requests.

Fix: IsNestedTooDeep() (64 levels) before each parse of such a document: announcements, departures, configurations, callers' requests, errors, events, cache events and reports of upstreams. It reads the text once and keeps nothing.

Before the fix: PlatformDocument.DeepNesting_IsRefused and HttpServiceCall.DeeplyNestedError_IsResult ended with SIGSEGV. EntryHttpInput/nested covers the check of callers' requests; it was not seen to crash before, as the limit on the body of the entry in that test is small.

--- a/include/persimmonring/core.h
+++ b/include/persimmonring/core.h
@@ -192,6 +192,14 @@
 };
 bool IsValid(const Endpoint& endpoint);
 
+/// Limit on the nesting of JSON documents of other processes. Parsing takes
+/// memory for each level, copying and serializing also stack.
+constexpr size_t kMaxJsonDepth = 64;
+
+/// Checks a document before it is parsed; checks nothing but the nesting.
+/// @returns true if arrays and objects are nested deeper than kMaxJsonDepth
+bool IsNestedTooDeep(std::string_view json);
+
 /// @returns the SHA-256 of a text as 64 lower-case hex digits. Used where
 ///          equal digests must mean equal contents (calls, release notes).
 std::string Sha256Hex(std::string_view text);
--- a/src/control_plan.cc
+++ b/src/control_plan.cc
@@ -69,6 +69,9 @@
 }
 
 std::optional<EngineState> ParseReport(const std::string& text) {
+  if (IsNestedTooDeep(text)) {
+    return std::nullopt;
+  }
   const json report = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!report.is_object()) {
     return std::nullopt;
--- a/src/core_values.cc
+++ b/src/core_values.cc
@@ -198,6 +198,27 @@
   return ip + ":" + std::to_string(port);
 }
 
+bool IsNestedTooDeep(std::string_view json) {
+  size_t depth = 0;
+  bool in_string = false;
+  for (size_t i = 0; i < json.size(); ++i) {
+    const char c = json[i];
+    if (in_string) {
+      i += c == '\\' ? 1 : 0;  // Skips the escaped character.
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth) {
+        return true;
+      }
+    } else if ((c == ']' || c == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return false;
+}
+
 bool IsValid(const Endpoint& endpoint) {
   return !endpoint.ip.empty() && endpoint.port != 0;
 }
--- a/src/entry_request.cc
+++ b/src/entry_request.cc
@@ -15,6 +15,9 @@
 }
 
 Outcome<json> ParseObject(const std::string& body) {
+  if (IsNestedTooDeep(body)) {
+    return BadRequest("the body is nested too deep");
+  }
   // The parser also rejects invalid UTF-8. `false` disables exceptions.
   json value = json::parse(body, nullptr, false);
   if (value.is_discarded()) {
--- a/src/upstream_completion.cc
+++ b/src/upstream_completion.cc
@@ -47,6 +47,9 @@
     ended_ = true;
     return EventResult::kProgress;
   }
+  if (IsNestedTooDeep(data)) {
+    return Fail("the event is nested too deep");
+  }
   const auto event = nlohmann::json::parse(data, nullptr, false);
   return event.is_object() ? OnObject(event)
                            : Fail("the event is not a JSON object");
--- a/src/upstream_engine.cc
+++ b/src/upstream_engine.cc
@@ -231,6 +231,9 @@
   }
   const Refusal malformed{Reason::kUpstreamError, RunState::kRan,
                           "the response with cache events is malformed"};
+  if (IsNestedTooDeep(*answer)) {
+    return malformed;
+  }
   const auto body = nlohmann::json::parse(*answer, nullptr, false);
   if (!body.is_object() || !body.contains("events") ||
       !body["events"].is_array()) {
--- a/src/upstream_http.cc
+++ b/src/upstream_http.cc
@@ -227,7 +227,9 @@
 }
 
 Refusal RefusalFromResponse(const HttpResponse& response) {
-  const auto body = nlohmann::json::parse(response.body, nullptr, false);
+  const auto body = IsNestedTooDeep(response.body)
+                        ? nlohmann::json()
+                        : nlohmann::json::parse(response.body, nullptr, false);
   const auto error = body.is_object() && body.contains("error")
                          ? body["error"]
                          : nlohmann::json();
--- a/tests/entry_http_test.cc
+++ b/tests/entry_http_test.cc
@@ -100,6 +100,10 @@
     ::testing::Values(
         InputRow{"not_json", kChat, "{\"model\":", "bad_request"},
         InputRow{"list", kChat, "[]", "bad_request"},
+        InputRow{"nested", kChat,
+                 R"({"model":"m","messages":[{"role":"user","content":)" +
+                     std::string(1'000, '[') + std::string(1'000, ']') + "}]}",
+                 "bad_request"},
         InputRow{"not_utf8", kChat,
                  "{\"model\":\"m\",\"messages\":[{\"role\":\"user\","
                  "\"content\":\"\xff\xfe\"}]}",
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -156,6 +156,30 @@
   EXPECT_EQ(upstream->born_ms, 99);
 }
 
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+std::string Nested(size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+// Guards against ending, or using much memory, because of a deeply nested
+// document: parsing and copying take stack or heap for each level.
+TEST(PlatformDocument, DeepNesting_IsRefused) {
+  constexpr size_t kLevels = 1'000'000;
+  const std::string heartbeat = Replaced(
+      kHeartbeat, "\"born\"", "\"x\":" + Nested(kLevels) + ",\"born\"");
+  EXPECT_FALSE(DecodeHeartbeat("i-1", heartbeat).ok());
+  EXPECT_FALSE(DecodeHeartbeat("i-1", Nested(kLevels)).ok());
+  const std::string document = R"({"version":1,"routes":[],"services":[],)"
+                               R"("limits":{"x":)" +
+                               Nested(kLevels) + "}}";
+  EXPECT_FALSE(PlatformProtocol().ParseConfiguration(document).ok());
+}
+
 // Guards against registering an upstream from a malformed announcement.
 TEST(PlatformHeartbeat, MissingOrMistypedFields_AreRefused) {
   const std::pair<const char*, const char*> cases[] = {
--- a/tests/upstream_http_test.cc
+++ b/tests/upstream_http_test.cc
@@ -235,6 +235,18 @@
   }
 }
 
+// Guards against a stack overflow when the parsed error is copied.
+TEST(HttpServiceCall, DeeplyNestedError_IsResult) {
+  const std::string error =
+      std::string(200'000, '[') + std::string(200'000, ']');
+  RawServer server(ErrorAnswer(500, error), Ending::kClose);
+  const auto result = CreateHttpServiceClient()->Call(
+      UpstreamAt(server.endpoint()),
+      {.service = "s", .path = "/p", .body = "{}"});
+  ASSERT_TRUE(result.ok());
+  EXPECT_EQ(result->http_status, 500);
+}
+
 // Guards against dropped error responses of a service and injected headers.
 TEST(HttpServiceCall, ErrorStatus_IsResultAndBadHeaderIsRefused) {
   RawServer server(ErrorAnswer(422, R"("sold out")"), Ending::kClose);
