Refuse numbers, ports and names of announcements that are out of range

What callers see: an announcement with a large start or sequence is accepted; the upstream's own later ones, also that it drains, then count as older and change nothing. A departure with such a start marks a running upstream as gone.

Hypotheses: (1) a port out of range is truncated; (2) numbers that do not fit their field are converted; (3) a value that fits but is absurd is believed; (4) a process ends over it. Evidence, from tests of the decoders on the code before: ports out of range were refused in 9 of 9 forms, not (1); slots became 1, born became -1, 1e300 was undefined behaviour, callSeq 4.5 became 4, so (2); born was kept, so (3).

Cause: the JSON library converts numbers without a check, and nothing bounded them or the length of names, which go into the log of the ring and to all entries.

Configurations keep fractions in times, as before.

--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -144,12 +144,13 @@
   EXPECT_TRUE(protocol.DecodeUpstreamResponse(head).other_instance);
 }
 
+constexpr int64_t kWallMs = 1'700'000'000'000;
 constexpr char kHeartbeat[] =
     R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
         "slots":12,"state":"ready","coldLeftMs":0,"callSeq":4,"born":99})";
 
 TEST(PlatformHeartbeat, CompleteBody_IsDecoded) {
-  const auto upstream = DecodeHeartbeat("i-1", kHeartbeat);
+  const auto upstream = DecodeHeartbeat("i-1", kHeartbeat, kWallMs);
   ASSERT_TRUE(upstream.ok());
   EXPECT_EQ(upstream->address.ToString(), "10.0.0.9:80");
   EXPECT_EQ(upstream->sequence, 4u);
@@ -172,14 +173,101 @@
   constexpr size_t kLevels = 1'000'000;
   const std::string heartbeat = Replaced(
       kHeartbeat, "\"born\"", "\"x\":" + Nested(kLevels) + ",\"born\"");
-  EXPECT_FALSE(DecodeHeartbeat("i-1", heartbeat).ok());
-  EXPECT_FALSE(DecodeHeartbeat("i-1", Nested(kLevels)).ok());
+  EXPECT_FALSE(DecodeHeartbeat("i-1", heartbeat, kWallMs).ok());
+  EXPECT_FALSE(DecodeHeartbeat("i-1", Nested(kLevels), kWallMs).ok());
   const std::string document = R"({"version":1,"routes":[],"services":[],)"
                                R"("limits":{"x":)" +
                                Nested(kLevels) + "}}";
   EXPECT_FALSE(PlatformProtocol().ParseConfiguration(document).ok());
 }
 
+// Guards against numbers that do not fit their field: a truncated one names
+// another value, and a large birth time or sequence hides all later
+// announcements of the upstream.
+TEST(PlatformHeartbeat, NumbersOutOfRange_AreRefused) {
+  const std::pair<const char*, std::vector<const char*>> cases[] = {
+      {"\"slots\":12", {"2.5", "-1", "1e300", "1e400", "4294967297"}},
+      {"\"callSeq\":4",
+       {"4.5", "-1", "1e300", "9223372036854775808", "18446744073709551616"}},
+      {"\"born\":99",
+       {"99.5", "-1", "\"x\"", "1e300", "9223372036854775808",
+        "9007199254740993"}},
+      {"\"coldLeftMs\":0", {"-1", "\"x\"", "1e300", "9223372036854775808"}},
+  };
+  for (const auto& [field, values] : cases) {
+    const std::string text = field;
+    for (const char* value : values) {
+      const std::string body = Replaced(
+          kHeartbeat, text, text.substr(0, text.find(':') + 1) + value);
+      EXPECT_FALSE(DecodeHeartbeat("i-1", body, kWallMs).ok()) << body;
+    }
+  }
+}
+
+// Guards against an address whose port does not fit, and against names that
+// would fill the log of the ring.
+TEST(PlatformHeartbeat, AddressOrNameOutOfRange_IsRefused) {
+  for (const char* address :
+       {"10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1", "10.0.0.9:0",
+        "10.0.0.9:", "10.0.0.9:+80", "10.0.0.256:80", "10.0.0.9", ""}) {
+    EXPECT_FALSE(DecodeHeartbeat("i-1",
+                                 Replaced(kHeartbeat, "10.0.0.9:80", address),
+                                 kWallMs)
+                     .ok())
+        << address;
+  }
+  const std::string long_name(100'000, 'x');
+  for (const char* field :
+       {R"("service":"s")", R"("zone":"z")", R"("version":"v1")"}) {
+    const std::string text = field;
+    EXPECT_FALSE(DecodeHeartbeat("i-1",
+                                 Replaced(kHeartbeat, text,
+                                          text.substr(0, text.find(':') + 2) +
+                                              long_name + '"'),
+                                 kWallMs)
+                     .ok())
+        << field;
+  }
+  EXPECT_FALSE(DecodeHeartbeat(long_name, kHeartbeat, kWallMs).ok());
+}
+
+// Guards against a departure that names a start which no incarnation has.
+TEST(PlatformDeparture, StartOutOfRange_IsRefused) {
+  EXPECT_EQ(*DecodeDeparture("", kWallMs), std::nullopt);
+  EXPECT_EQ(*DecodeDeparture("{}", kWallMs), std::nullopt);
+  EXPECT_EQ(*DecodeDeparture(R"({"born":99})", kWallMs), 99);
+  for (const char* body :
+       {R"({"born":9007199254740993})", R"({"born":99.5})", R"({"born":"x"})",
+        R"({"born":18446744073709551615})", R"({"born":-1})", "[]", "\x01"}) {
+    EXPECT_FALSE(DecodeDeparture(body, kWallMs).ok()) << body;
+  }
+}
+
+// Guards against a configuration whose numbers are truncated to others.
+TEST(PlatformDocument, ConfigurationNumbersOutOfRange_AreRefused) {
+  const std::string document =
+      R"({"version":1,"services":[{"name":"s"}],"routes":[{"name":"r",
+          "host":"h","pathPrefix":"/a/","timeoutMs":4000.0,
+          "split":[{"service":"s","weight":1}]}]})";
+  ASSERT_TRUE(PlatformProtocol().ParseConfiguration(document).ok());
+  const std::pair<const char*, const char*> cases[] = {
+      {"\"timeoutMs\":4000.0", "\"timeoutMs\":1e300"},
+      {"\"timeoutMs\":4000.0", "\"timeoutMs\":18446744073709551615"},
+      {"\"weight\":1", "\"weight\":4294967297"},
+      {"\"weight\":1", "\"weight\":-1"},
+      {"\"version\":1", "\"version\":-1"},
+      {"\"version\":1", "\"version\":1.5"},
+      {"\"version\":1", "\"version\":1e300"},
+      {"\"version\":1", "\"version\":18446744073709551616"},
+  };
+  for (const auto& [from, to] : cases) {
+    EXPECT_FALSE(PlatformProtocol()
+                     .ParseConfiguration(Replaced(document, from, to))
+                     .ok())
+        << to;
+  }
+}
+
 // Guards against registering an upstream from a malformed announcement.
 TEST(PlatformHeartbeat, MissingOrMistypedFields_AreRefused) {
   const std::pair<const char*, const char*> cases[] = {
@@ -195,7 +283,7 @@
   for (const auto& [from, to] : cases) {
     std::string body = kHeartbeat;
     body.replace(body.find(from), std::string(from).size(), to);
-    EXPECT_EQ(DecodeHeartbeat("i-1", body).refusal().reason,
+    EXPECT_EQ(DecodeHeartbeat("i-1", body, kWallMs).refusal().reason,
               Reason::kBadRequest)
         << body;
   }
