Believe a departure and a silent upstream whatever their sequence number

A number that fits its field passes every check of the decoder: an announcement under the upstream's id with sequence 2^53.

What callers see: the upstream's own announcements count as delayed. That it drains is acknowledged and changes nothing, so requests reach it until it ends; and after five missed periods it counts as silent for good and is used no more.

Hypotheses: (1) keepers drop its announcements as delayed; (2) keepers take them and entries keep the older row. The keeper logs no upstream_announced for them, and upstream_silent while they arrive: (1).

Cause: one number decided alone which announcement is the latest, and it was never given up. Fix: an incarnation never returns from draining or gone, so a departure counts whenever it arrives and a later 'ready' does not undo it; and an upstream that counts as silent is believed again, as by a keeper that has just started. Delayed announcements of an earlier start are dropped as before.

Before: all three tests of GatewayForeignSequenceTest failed, e.g. UpstreamDrains_NewWorkGoesElsewhere: 15 of 24 requests reached it, expected 0. All 181 tests of test_gateway pass with the fix.

--- a/src/registrar_upstreams.cc
+++ b/src/registrar_upstreams.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "registrar_p.h"
 
 namespace ring {
@@ -20,18 +22,28 @@
   const auto [it, added] =
       upstreams_.try_emplace(upstream.instance, KnownUpstream{upstream});
   KnownUpstream& known = it->second;
-  const bool older = !added && (upstream.born_ms < known.upstream.born_ms ||
-                                (upstream.born_ms == known.upstream.born_ms &&
-                                 upstream.sequence <= known.upstream.sequence));
-  if (older) {
-    // A delayed message; a newer announcement was processed already.
+  const bool same_start = upstream.born_ms == known.upstream.born_ms;
+  // A silent upstream is believed again whatever its sequence number: the one
+  // that is known may come from another writer.
+  const bool delayed =
+      !added && (upstream.born_ms < known.upstream.born_ms ||
+                 (same_start && known.heard &&
+                  upstream.sequence <= known.upstream.sequence));
+  // An incarnation never returns from a departure, so that it counts whenever
+  // it arrives.
+  const bool departs = same_start && upstream.state > known.upstream.state;
+  if (delayed && !departs) {
     return callback(Done{});
   }
-  UpstreamInstance comparable = upstream;
+  UpstreamInstance latest = upstream;
+  if (same_start) {
+    latest.state = std::max(upstream.state, known.upstream.state);
+  }
+  UpstreamInstance comparable = latest;
   comparable.sequence = known.upstream.sequence;
   comparable.cold_left_ms = known.upstream.cold_left_ms;
   const bool changed = added || !known.heard || comparable != known.upstream;
-  known.upstream = upstream;
+  known.upstream = latest;
   known.last_announced_ms = loop_.now_ms();
   known.heard = true;
   if (changed) {
@@ -39,18 +51,18 @@
         .Add("upstream", upstream.instance)
         .Add("service", upstream.service)
         .Add("address", upstream.address.ToString())
-        .Add("state", int{static_cast<uint8_t>(upstream.state)})
+        .Add("state", int{static_cast<uint8_t>(latest.state)})
         .Add("born_ms", upstream.born_ms)
         .Add("sequence", upstream.sequence);
     SendToEntries(UpstreamUpdateFrame({&known}, {}, false));
   }
-  if (upstream.state == UpstreamState::kReady) {
-    Register(upstream);
+  if (latest.state == UpstreamState::kReady) {
+    Register(latest);
     return callback(Done{});
   }
-  RecordDeparture({upstream.instance, upstream.born_ms,
-                   upstream.state == UpstreamState::kGone},
-                  callback);
+  RecordDeparture(
+      {latest.instance, latest.born_ms, latest.state == UpstreamState::kGone},
+      callback);
 }
 
 // Registrations are kept in the log, so that after a restart of the whole ring
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -65,6 +65,9 @@
     upstream.slots = 4;
     upstream.born_ms = born_ms;
     upstream.sequence = ++sequence_;
+    Announce(upstream);
+  }
+  void Announce(const UpstreamInstance& upstream) {
     std::atomic<bool> done{false};
     keeper_loop_.Post([&] {
       registrar_->Announce(upstream, [&done](const Status&) { done = true; });
--- a/tests/gateway_leaving_test.cc
+++ b/tests/gateway_leaving_test.cc
@@ -243,6 +243,57 @@
   EXPECT_EQ(Post("/order/1", "Request-Id: n", "x").status(), 200);
 }
 
+/// Another writer has announced the upstream under its id with a sequence
+/// number that its own announcements never reach.
+class GatewayForeignSequenceTest : public GatewayLeavingTest {
+ protected:
+  void SetUp() override {
+    ServeTools([](const std::string& request) {
+      return ScriptedReply{{FullResponse(200, request, "ok")}};
+    });
+    announced_ =
+        UpstreamInstance{"i-1", "tool", upstreams_[0]->endpoint(), "domain"};
+    announced_.slots = 4;
+    announced_.born_ms = 1;
+    announced_.sequence = uint64_t{1} << 53;
+    Announce(announced_);
+    announced_.sequence = 10;
+    SendFirst();
+    leaving_ = 0;
+  }
+  UpstreamInstance announced_;
+};
+
+// Guards against ignoring that an upstream drains.
+TEST_F(GatewayForeignSequenceTest, UpstreamDrains_NewWorkGoesElsewhere) {
+  announced_.state = UpstreamState::kDraining;
+  Announce(announced_);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  ExpectServedByOthers();
+}
+
+// Guards against believing a delayed announcement of an upstream that drains.
+TEST_F(GatewayForeignSequenceTest, DelayedReadyAnnouncement_ChangesNothing) {
+  announced_.state = UpstreamState::kDraining;
+  Announce(announced_);
+  announced_.state = UpstreamState::kReady;
+  announced_.sequence = 9;
+  Announce(announced_);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  ExpectServedByOthers();
+}
+
+// Guards against giving up an upstream that goes on announcing itself.
+TEST_F(GatewayForeignSequenceTest, UpstreamIsSilentAndAnnouncesAgain_IsUsed) {
+  // After five missed announcements, 1.2 s apart, an upstream counts as silent.
+  std::this_thread::sleep_for(std::chrono::milliseconds(7'500));
+  EXPECT_EQ(Post("/order/1", "Request-Id: silent", "x").status(), 503);
+  announced_.sequence = 11;
+  Announce(announced_);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(Post("/order/1", "Request-Id: again", "x").status(), 200);
+}
+
 // Guards against refusing requests while the only upstream can still serve
 // them.
 TEST_F(GatewayLeavingTest, OnlyUpstream_ServesForAWhile) {
