--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -17,6 +17,9 @@
 // closed.
 constexpr int32_t kMaxForeignAnswers = 4;
 
+// What the log says of a request whose answer was complete.
+const Refusal kAnswered{Reason::kNone, RunState::kRan, "", 0};
+
 std::vector<HttpHeader> EndToEnd(const HttpHead& head) {
   std::vector<HttpHeader> headers;
   std::copy_if(
@@ -266,7 +269,7 @@
       caller_->EndResponse();
     }
     FinishTurn(false, nullptr);
-    LogEnd("answered", {}, head_.status);
+    LogEnd("answered", kAnswered, head_.status);
     return End();
   }
   FinishTurn(true, [this](bool kept) {
@@ -278,7 +281,7 @@
       }
       caller_ = nullptr;
     }
-    LogEnd(kept ? "answered" : "turn_not_recorded", {}, head_.status);
+    LogEnd(kept ? "answered" : "turn_not_recorded", kAnswered, head_.status);
     End();
   });
 }
@@ -288,7 +291,7 @@
     caller_->Respond(head_.status, EndToEnd(head_), buffered_);
   }
   FinishTurn(false, nullptr);
-  LogEnd("answered", {}, head_.status);
+  LogEnd("answered", kAnswered, head_.status);
   End();
 }
 
