--- a/src/net_tcp.cc
+++ b/src/net_tcp.cc
@@ -149,7 +149,7 @@
   }
   if (connected_ && unsent_bytes() == 0) {
     bytes.remove_prefix(SendBytes(bytes));
-    // Errors are reported by the next epoll event.
+    // After an error, the next epoll event reports the end of the connection.
   }
   if (!bytes.empty()) {
     out_.append(bytes);
