Let tests of broken answers share their set-up; test that connections are kept

The set-up of early answers and of streams that break once stands once each; ResumedStreamWithoutSignature_IsNotJoined moves to the tests of streams, with the same expectations. SoundAnswers_KeepTheConnection is new: three answers use one connection (it guards; it was not seen to fail).

--- a/tests/gateway_answer_test.cc
+++ b/tests/gateway_answer_test.cc
@@ -140,6 +140,15 @@
   expect_status(502);
 }
 
+// Guards against closing kept connections because of the checks of answers.
+TEST_P(GatewayAnswerTest, SoundAnswers_KeepTheConnection) {
+  Serve(nullptr);
+  for (const char* id : {"a", "b", "c"}) {
+    EXPECT_EQ(Send(id).status(), 200);
+  }
+  EXPECT_EQ(upstreams_[0]->connections() + upstreams_[1]->connections(), 1);
+}
+
 // Guards against withholding errors of an upstream, which carry no signature.
 TEST_P(GatewayAnswerTest, ErrorWithoutSignature_IsDelivered) {
   Serve([](const std::string& request) {
@@ -211,28 +220,5 @@
   EXPECT_EQ(Requests(), 2u);
 }
 
-// Guards against resuming a stream with events that the upstream did not sign.
-TEST_F(GatewayCallTest, ResumedStreamWithoutSignature_IsNotJoined) {
-  std::atomic<int> asked{0};
-  const auto script = [&asked](const std::string& request) {
-    ScriptedReply reply = Events(request, {"one", "two"});
-    if (asked.fetch_add(1) == 0) {
-      reply.pieces.resize(2);
-      reply.then = Then::kReset;
-      return reply;
-    }
-    std::string& head = reply.pieces[0];
-    head.erase(head.find(kSignatureLine), std::string(kSignatureLine).size());
-    reply.pieces.erase(reply.pieces.begin() + 1);
-    return reply;
-  };
-  ServeEngine(script);
-  ServeEngine(script);
-  ConfigureAll();
-  const CallerResponse answer = Post("/review/1", "Request-Id: r1", "in");
-  EXPECT_FALSE(IsComplete(answer.text));
-  EXPECT_EQ(answer.text.find("data: two"), std::string::npos);
-}
-
 }  // namespace
 }  // namespace ring
--- a/tests/gateway_early_answer_test.cc
+++ b/tests/gateway_early_answer_test.cc
@@ -33,18 +33,22 @@
                           body},
                          GetParam().end};
   }
-  void Serve(const std::string& headers, const std::string& body) {
-    const auto script = [this, headers, body](const std::string& request) {
-      return Answer(request, headers, body);
+  /// @returns what the caller of a long request gets
+  CallerResponse SendLong(const std::string& headers) {
+    const auto script = [this, headers](const std::string& request) {
+      return Answer(request, headers, kEvent);
     };
     ServeTool(script, Answers::kAfterHead);
     ServeEngine(script, Answers::kAfterHead);
     ConfigureAll();
-  }
-  CallerResponse SendLong() {
     return Post(GetParam().path, "Request-Id: long",
                 std::string(kBodyBytes, 'x'));
   }
+  static void ExpectDelivered(const CallerResponse& answer) {
+    EXPECT_EQ(answer.status(), 200);
+    EXPECT_TRUE(IsComplete(answer.text)) << answer.text;
+    EXPECT_NE(answer.text.find(kEvent), std::string::npos);
+  }
 
   static constexpr char kEvent[] = "id: 1\ndata: one\n\n";
 };
@@ -67,8 +71,7 @@
 // Guards against delivering an answer without a length as complete although its
 // connection was reset while a part of the request was unsent.
 TEST_P(GatewayResetAnswerTest, NoLength_IsNotComplete) {
-  Serve("", kEvent);
-  const CallerResponse answer = SendLong();
+  const CallerResponse answer = SendLong("");
   EXPECT_FALSE(answer.status() == 200 && IsComplete(answer.text))
       << answer.text;
   if (!is_stream()) {
@@ -79,12 +82,8 @@
 // Guards against failing an answer because the rest of its request could not be
 // sent.
 TEST_P(GatewayResetAnswerTest, CompleteByLength_IsDelivered) {
-  Serve("Content-Length: " + std::to_string(sizeof(kEvent) - 1) + "\r\n",
-        kEvent);
-  const CallerResponse answer = SendLong();
-  EXPECT_EQ(answer.status(), 200);
-  EXPECT_TRUE(IsComplete(answer.text));
-  EXPECT_NE(answer.text.find(kEvent), std::string::npos);
+  ExpectDelivered(SendLong(
+      "Content-Length: " + std::to_string(sizeof(kEvent) - 1) + "\r\n"));
 }
 
 using GatewayClosedAnswerTest = GatewayEarlyAnswerTest;
@@ -107,11 +106,7 @@
 // orderly way, also if the upstream then resets the connection because of the
 // unread rest of the request.
 TEST_P(GatewayClosedAnswerTest, NoLength_IsDelivered) {
-  Serve("", kEvent);
-  const CallerResponse answer = SendLong();
-  EXPECT_EQ(answer.status(), 200);
-  EXPECT_TRUE(IsComplete(answer.text)) << answer.text;
-  EXPECT_NE(answer.text.find(kEvent), std::string::npos);
+  ExpectDelivered(SendLong(""));
 }
 
 }  // namespace
--- a/tests/gateway_stream_test.cc
+++ b/tests/gateway_stream_test.cc
@@ -33,16 +33,21 @@
                ? 0
                : std::atoi(request.c_str() + at + kName.size());
   }
+  static ScriptedReply RestOfStream(const std::string& request) {
+    return EventsAfter(request, ResumedAfter(request));
+  }
   /// Starts two upstreams. The first request is answered by `pieces` and a
-  /// reset, all later ones by the complete rest of the stream.
-  void ServeBreakingOnce(const std::vector<std::string>& pieces) {
-    const auto script = [this, pieces](const std::string& request) {
+  /// reset, all later ones by `later`.
+  void ServeBreakingOnce(
+      const std::vector<std::string>& pieces,
+      const fakes::ScriptedUpstream::Script& later = RestOfStream) {
+    const auto script = [this, pieces, later](const std::string& request) {
       if (asked_.fetch_add(1) == 0) {
         ScriptedReply reply{{StreamHead(request)}, Then::kReset};
         reply.pieces.insert(reply.pieces.end(), pieces.begin(), pieces.end());
         return reply;
       }
-      return EventsAfter(request, ResumedAfter(request));
+      return later(request);
     };
     ServeEngine(script);
     ServeEngine(script);
@@ -165,23 +170,28 @@
 
 // Guards against joining parts of the streams of two attempts.
 TEST_F(GatewayStreamTest, UpstreamIgnoresTheResumption_StreamIsBrokenOff) {
-  const auto script = [this](const std::string& request) {
-    ScriptedReply reply = EventsAfter(request, 0);
-    if (asked_.fetch_add(1) == 0) {
-      reply.pieces.resize(2);
-      reply.then = Then::kReset;
-    }
-    return reply;
-  };
-  ServeEngine(script);
-  ServeEngine(script);
-  ConfigureAll();
+  ServeBreakingOnce({Chunk(EventText(1))}, [](const std::string& request) {
+    return EventsAfter(request, 0);
+  });
   const CallerResponse answer = Post("/review/1", "Request-Id: r1", "in");
   EXPECT_FALSE(IsComplete(answer.text));
   EXPECT_EQ(CountOf(answer.text, "data: e1"), 1u);
   EXPECT_EQ(CountOf(answer.text, "data: e2"), 0u);
 }
 
+// Guards against resuming a stream with events that the upstream did not sign.
+TEST_F(GatewayStreamTest, ResumedStreamWithoutSignature_IsNotJoined) {
+  ServeBreakingOnce({Chunk(EventText(1))}, [](const std::string& request) {
+    ScriptedReply reply = RestOfStream(request);
+    std::string& head = reply.pieces[0];
+    head.erase(head.find(kSignatureLine), std::string(kSignatureLine).size());
+    return reply;
+  });
+  const CallerResponse answer = Post("/review/1", "Request-Id: r1", "in");
+  EXPECT_FALSE(IsComplete(answer.text));
+  EXPECT_EQ(CountOf(answer.text, "data: e2"), 0u);
+}
+
 // Guards against refusing a caller's resumption, and against charging events
 // again that the caller already has.
 TEST_F(GatewayStreamTest, CallerResumes_RestIsSentAndCountedOnce) {
