Read and log the limit that an answer of an upstream names

The request line now holds the limit that the answer named, and an entry logs when an upstream names another limit or none. The limit decides nothing yet. PlatformLimit.NamedInAnAnswer_IsReadOrUnreadable covers numbers that are negative, too large, not finite, or no numbers, and repeated headers.

--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -181,6 +181,10 @@
   /// Instance that responds to a health check; may be empty.
   std::string instance;
   bool leaving = false;  ///< The upstream is about to shut down.
+  /// The upstream names a limit for its requests, readable or not.
+  bool names_limit = false;
+  /// Requests that it takes from all entries together, per 1,000 s.
+  std::optional<int64_t> limit;
 
   auto operator<=>(const UpstreamResponse&) const = default;
 };
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -493,7 +493,8 @@
       .Add("answers", answer_.request_id)
       .Add("signed", answer_.has_signature)
       .Add("ends_by_close", ends_by_close_)
-      .Add("send_error", send_error_);
+      .Add("send_error", send_error_)
+      .Add("limit", answer_.limit.value_or(-1));
   if (refusal.reason != Reason::kNone) {
     event.Add("digest", digest_);
   }
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -67,6 +67,9 @@
     OnExchangeFailed(ExchangeFailure::kMalformed);
     return false;
   }
+  if (!answer.other_instance) {
+    gateway_.RecordLimit(upstream_, answer);
+  }
   attempt_timer_.Stop();
   slow_response_timer_.Stop();
   answer_ = answer;
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -106,6 +106,7 @@
     upstreams_.Prune(loop_.now_ms());
     suspects_.Expire(loop_.now_ms());
     crash_detector_.Expire();
+    limits_.Expire(loop_.now_ms());
   });
   loop_.Every(kGaugesMs, [this] {
     SetGauges();
@@ -380,6 +381,20 @@
   });
 }
 
+void Gateway::Impl::RecordLimit(const UpstreamInstance& upstream,
+                                const UpstreamResponse& answer) {
+  const auto before = limits_.OnAnswer(upstream, answer, loop_.now_ms());
+  if (before) {
+    Event(LogLevel::kInfo, "upstream_limit")
+        .Add("upstream", upstream.instance)
+        .Add("born_ms", upstream.born_ms)
+        .Add("limit", answer.limit.value_or(-1))
+        .Add("before", before->limit.value_or(-1))
+        .Add("before_ms_ago", before->at_ms == 0 ? -1 : loop_.now_ms() - before->at_ms)
+        .Add("request", answer.request_id);
+  }
+}
+
 void Gateway::Impl::RecordFailure(const UpstreamInstance& upstream,
                                   Reason reason) {
   const int64_t suspected_ms =
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -14,6 +14,7 @@
 #include "gateway_crash_detector_p.h"
 #include "gateway_events_p.h"
 #include "gateway_health_p.h"
+#include "gateway_limits_p.h"
 #include "gateway_pool_p.h"
 #include "gateway_suspects_p.h"
 #include "persimmonring/gateway.h"
@@ -88,6 +89,9 @@
   void RecordLeaving(const UpstreamInstance& upstream,
                      const char* source,
                      const std::string& request);
+  /// Called with each answer of an upstream to its request.
+  void RecordLimit(const UpstreamInstance& upstream,
+                   const UpstreamResponse& answer);
   void RecordError(const std::string& instance) { health_.OnError(instance); }
   void RecordSuccess(const std::string& instance) {
     health_.OnSuccess(instance);
@@ -163,6 +167,7 @@
   /// Requests of this entry, by instance.
   std::unordered_map<std::string, int32_t> in_flight_;
   UpstreamHealth health_;
+  UpstreamLimits limits_;
   CrashDetector crash_detector_;
   SuspectTable suspects_;
   std::deque<ObservedCrash> unreported_;  ///< Not yet reported to a keeper.
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -6,6 +6,32 @@
 namespace ring::platform {
 namespace {
 
+// Guards against limits of upstreams that are taken for something else.
+TEST(PlatformLimit, NamedInAnAnswer_IsReadOrUnreadable) {
+  const auto decode = [](const std::vector<std::string>& values) {
+    HttpHead head;
+    head.status = 200;
+    for (const std::string& value : values) {
+      head.headers.push_back({"Server-Limit", value});
+    }
+    return PlatformProtocol().DecodeUpstreamResponse(head);
+  };
+  const std::vector<std::pair<std::string, std::optional<int64_t>>> kCases = {
+      {"5.2", 5'200}, {"12", 12'000}, {"0", 0},
+      {".5", 500},    {"0.0004", 0},  {"99999999999999999999", 1'000'000'000},
+      {"", {}},       {"-1", {}},     {"-0", {}},
+      {"nan", {}},    {"inf", {}},    {"1e3", {}},
+      {"5.2 x", {}},  {"0x10", {}},   {"five", {}},
+  };
+  for (const auto& [text, limit] : kCases) {
+    const UpstreamResponse answer = decode({text});
+    EXPECT_TRUE(answer.names_limit) << text;
+    EXPECT_EQ(answer.limit, limit) << text;
+  }
+  EXPECT_FALSE(decode({}).names_limit);
+  EXPECT_EQ(decode({"7", "3", "x"}).limit, 3'000);
+}
+
 constexpr char kDocument[] = R"({
   "version": 7,
   "routes": [
