Keep the limits that upstreams name, over all entries together

Cause: the limit was passed on and read by nobody. Class: what an upstream says of itself to all entries reached no decision. Evidence: with the limits logged, three entries were told 5.2 a second within 0.2 s, and sent 40, 19 and 14 requests in the next 4 s, all of them first attempts.

Fix: entries observe limits (UpstreamLimits) and report them with each turn. Requests that are no turns, and repeated attempts, ask the leader if they would go to an upstream with a limit. The grants are in the log, so the next leader goes on counting. Without a leader each entry keeps an equal share.

Before: GatewayLimitTest.CallsBeyondTheLimit_GoToOthers got 114 calls where 17 are allowed, .TurnsBeyondTheLimit_GoToOthers 29 turns.

--- a/include/persimmonring/core.h
+++ b/include/persimmonring/core.h
@@ -65,6 +65,7 @@
   kUpstreamError,
   kUpstreamTruncated,
   kUpstreamLeaving,
+  kUpstreamLimited,
   kToolTimeout,
   kOutcomeUnknown,
   kCallerGone,
--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -317,7 +317,8 @@
   bool suspected = false;  ///< Failed recently.
   /// Share of this entry's recent requests that failed.
   int32_t failure_percent = 0;
-  bool cold = false;  ///< Started recently and is still slow.
+  bool cold = false;     ///< Started recently and is still slow.
+  bool limited = false;  ///< Has named a limit for its requests.
 
   auto operator<=>(const PlacementCandidate&) const = default;
 };
@@ -363,6 +364,8 @@
   bool startup_wait = true;
   /// Placement rests on observed times instead of defaults.
   bool observed_times = true;
+  /// The leader of the state group grants requests to upstreams with a limit.
+  bool shared_limits = true;
 
   auto operator<=>(const GatewayMechanisms&) const = default;
 };
--- a/include/persimmonring/policy.h
+++ b/include/persimmonring/policy.h
@@ -390,6 +390,32 @@
   int64_t samples_ = 0;
 };
 
+/// Spaces requests so that their rate stays within a limit (generic cell rate
+/// algorithm). Unused time is kept for a short burst. Not thread-safe.
+class RequestPacer {
+ public:
+  /// @param limit requests per 1,000 s; rates below one request in 4 s count as
+  ///        that, because only an answer shows that a limit has ended
+  /// @param divisor the limit is shared by this many equal users
+  void SetLimit(int64_t limit, int64_t divisor, int64_t now_ms);
+  /// Delays the first request by a part of the interval between requests, so
+  /// that the users of a limit do not start at the same time.
+  /// @param fraction 0 to 1
+  void Shift(double fraction, int64_t now_ms);
+  /// @returns time until the next request may be sent, ms
+  int64_t WaitMs(int64_t now_ms);
+  /// Counts a request.
+  void Take(int64_t now_ms);
+
+ private:
+  /// Moves to another time; the clock may have been set back.
+  void Advance(int64_t now_ms);
+
+  int64_t interval_us_ = 0;
+  int64_t now_us_ = 0;   ///< Latest time seen.
+  int64_t next_us_ = 0;  ///< When the requests counted so far have passed.
+};
+
 /// Times that placement depends on, as one entry observes them in its own
 /// requests. Until a time has been observed, a default applies that suits
 /// upstreams of any speed. Not thread-safe.
--- a/include/persimmonring/state.h
+++ b/include/persimmonring/state.h
@@ -7,6 +7,7 @@
 /// request and its answer; a chain is a turn with all the turns it continues.
 /// The state machine is deterministic and is replicated by one Raft group.
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -47,6 +48,8 @@
   /// Expected time to the first event without queueing, us.
   int64_t cost_us = 0;
   int32_t slots = 1;  ///< Requests that the upstream runs concurrently.
+  bool cached =
+      false;  ///< The upstream probably has most of the prompt cached.
 
   auto operator<=>(const UpstreamOffer&) const = default;
 };
@@ -58,6 +61,27 @@
 /// @param turn_us time of one turn that does not wait
 int64_t EngineWaitUs(int32_t running, int32_t slots, int64_t turn_us);
 
+/// Longest age at which an observed limit of an upstream counts.
+constexpr int64_t kMaxLimitAgeMs = 5'000;
+
+/// Limit that an upstream named in an answer, for the requests of all entries
+/// together.
+struct UpstreamLimit {
+  uint32_t upstream = 0;         ///< UpstreamKey of the instance.
+  std::optional<int64_t> limit;  ///< Requests per 1,000 s; nullopt: none.
+  int64_t at_ms = 0;             ///< When the answer arrived.
+
+  auto operator<=>(const UpstreamLimit&) const = default;
+};
+
+/// How a turn waits for upstreams with a limit.
+struct TurnUrgency {
+  int64_t patience_ms = INT64_MAX;  ///< Longest wait.
+  int32_t priority = 0;  ///< 0 is the highest; it waits for no lower one.
+
+  auto operator<=>(const TurnUrgency&) const = default;
+};
+
 /// Assigns turns to the upstream with the least expected wait. Counts the open
 /// turns of all entries by upstream and tracks the speed of each upstream.
 ///
@@ -72,9 +96,12 @@
 
   /// The upstream that a turn is assigned to.
   struct Placement {
-    uint32_t upstream = 0;  ///< UpstreamKey of the instance.
+    /// UpstreamKey of the instance; 0: no offer takes the turn in time.
+    uint32_t upstream = 0;
     /// Other open turns at the upstream.
     int32_t load = 0;
+    /// Time until the limit of the upstream lets the turn pass, ms.
+    int64_t wait_ms = 0;
 
     auto operator<=>(const Placement&) const = default;
   };
@@ -82,11 +109,22 @@
   /// Chooses the offer with the least expected wait and counts the turn at its
   /// upstream until the turn ends or `expires_ms` has passed. A turn that is
   /// already assigned keeps its upstream.
+  /// @param urgency offers whose limit lets the turn pass only after its
+  ///        patience are not chosen; if none is left, the placement has no
+  ///        upstream and the shortest of these times
   /// @returns nullopt if the turn is not assigned and there are no offers
   std::optional<Placement> Place(const std::string& turn,
                                  const std::vector<UpstreamOffer>& offers,
                                  int64_t now_ms,
-                                 int64_t expires_ms);
+                                 int64_t expires_ms,
+                                 const TurnUrgency& urgency = {});
+  /// Records what an entry has learned of an upstream. The latest observation
+  /// counts, and none that is older than kMaxLimitAgeMs.
+  void SetLimit(const UpstreamLimit& limit, int64_t now_ms);
+  /// @returns requests per 1,000 s; nullopt: the upstream has no limit
+  std::optional<int64_t> limit(uint32_t upstream) const;
+  /// @returns what is known of an upstream that has named a limit at some time
+  std::optional<UpstreamLimit> observed(uint32_t upstream) const;
   /// Removes a turn from the load and records its time and the speed of its
   /// upstream.
   /// @param upstream key of the upstream that ran the turn
@@ -111,7 +149,20 @@
     int64_t expires_ms = 0;
     int64_t placed_ms = 0;
     bool queued = false;  ///< The upstream had no free slot.
+    int64_t due_ms = 0;   ///< When the limit of the upstream lets it pass.
+  };
+  /// Order in which turns get the requests of a limit. Turns whose prompt is
+  /// cached come first: elsewhere it would have to be processed again, which
+  /// delays all turns there.
+  enum Level : uint8_t { kCachedUrgent, kCached, kUrgent, kOther, kLevels };
+  struct Limit {
+    UpstreamLimit observed;
+    /// Each counts the turns of its own level and of those before it.
+    std::array<RequestPacer, kLevels> pacers;
   };
+  static Level LevelOf(const UpstreamOffer& offer, int32_t priority);
+  int64_t LimitWaitMs(uint32_t upstream, Level level, int64_t now_ms);
+  void TakeLimit(uint32_t upstream, Level level, int64_t now_ms);
   int64_t WaitUs(const UpstreamOffer& offer, int64_t median_event_us) const;
   int64_t MedianEventUs(const std::vector<UpstreamOffer>& offers) const;
 
@@ -120,6 +171,7 @@
   /// Moving mean of the time between events by upstream, us.
   std::map<uint32_t, int64_t> event_us_;
   BoundedMean turn_us_;
+  std::map<uint32_t, Limit> limits_;  ///< By UpstreamKey.
 };
 
 /// A request that was in flight when upstreams crashed.
--- a/src/core_values.cc
+++ b/src/core_values.cc
@@ -60,6 +60,7 @@
         "upstream_error",
         "upstream_truncated",
         "upstream_leaving",
+        "upstream_limited",
         "tool_timeout",
         "outcome_unknown",
         "caller_gone",
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -233,19 +233,30 @@
     return;
   }
   if (!upstream) {
-    return Refuse({Reason::kNoUpstream,
-                   may_have_run_ ? RunState::kUnknown : RunState::kNotRun,
-                   "no upstream of the service is ready", kRetryAfterMs});
+    return RefuseWithoutUpstream();
+  }
+  const bool needs_grant =
+      upstream->limited &&
+      !(upstream->granted && gateway_.init().mechanisms.shared_limits);
+  if (needs_grant) {
+    return RequestPlacement();
   }
   SendTo(*upstream);
 }
 
+void GatewayCall::RefuseWithoutUpstream() {
+  Refuse({Reason::kNoUpstream,
+          may_have_run_ ? RunState::kUnknown : RunState::kNotRun,
+          "no upstream of the service is ready", kRetryAfterMs});
+}
+
 void GatewayCall::SendTo(const Gateway::Impl::ChosenUpstream& placed) {
   const UpstreamInstance& upstream = placed.upstream;
   upstream_ = upstream;
   load_ = placed.in_flight;
   candidates_ = placed.candidates;
   sent_ms_ = gateway_.loop().now_ms() - start_ms_;
+  placed_ = 0;
   tried_.insert(upstream.instance);
   const bool sent_there = !tried_addresses_.insert(upstream.address).second;
   ++sends_;
@@ -486,6 +497,7 @@
       .Add("candidates", uint64_t{candidates_})
       .Add("sends", int{sends_})
       .Add("begun_ms", begun_ms_)
+      .Add("limit_wait_ms", limit_wait_ms_)
       .Add("sent_ms", sent_ms_)
       .Add("head_ms", head_ms_)
       .Add("took_ms", took_ms)
--- a/src/gateway_call_turn.cc
+++ b/src/gateway_call_turn.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "gateway_p.h"
 
 namespace ring {
@@ -35,19 +37,24 @@
   begin.budget_tokens = info_.budget_tokens.value_or(-1);
   begin.max_tokens = info_.max_output_tokens;
   begin.wait_ms = static_cast<int32_t>(remaining_ms());
+  begin.patience_ms = static_cast<int32_t>(patience_ms());
+  begin.priority =
+      static_cast<uint8_t>(std::clamp(route_->priority, 0, UINT8_MAX));
   gateway_.Offer(service_, *this, begin);
   turn_->begun = true;
   gateway_.state().Propose(state_codec::EncodeBegin(begin),
                            std::min(kBeginTimeoutMs, remaining_ms()),
-                           [this, alive = std::weak_ptr<bool>(alive_)](
+                           [this, alive = std::weak_ptr<bool>(alive_),
+                            asked_ms = gateway_.loop().now_ms()](
                                const Outcome<fb::StateResultT>& outcome) {
                              if (!alive.expired()) {
-                               OnTurnBegun(outcome);
+                               OnTurnBegun(outcome, asked_ms);
                              }
                            });
 }
 
-void GatewayCall::OnTurnBegun(const Outcome<fb::StateResultT>& outcome) {
+void GatewayCall::OnTurnBegun(const Outcome<fb::StateResultT>& outcome,
+                              int64_t asked_ms) {
   begun_ms_ = gateway_.loop().now_ms() - start_ms_;
   if (!outcome) {
     return Refuse({Reason::kNoQuorum, RunState::kNotRun,
@@ -62,6 +69,9 @@
       turn_->begun = false;
       return Refuse({Reason::kBudgetExceeded, RunState::kNotRun,
                      "the token budget does not cover another turn"});
+    case fb::StateCode::Limited:
+      turn_->begun = false;
+      return RefuseLimited(outcome->placed_wait_ms);
     case fb::StateCode::Done:
       break;
     default:
@@ -72,10 +82,8 @@
   if (!outcome->last_upstream.empty()) {
     cached_ = {outcome->last_upstream, info_.prompt_tokens};
   }
-  placed_ = outcome->placed;
-  placed_load_ = outcome->placed_load;
   if (!route_->keeps_turns) {
-    return Send();
+    return OnPlaced(*outcome, asked_ms);
   }
   if (!turn_->chain && !info_.previous_turn.empty()) {
     auto chain = std::make_shared<std::string>();
@@ -94,7 +102,7 @@
     turn_->body = *turn_->chain;
   }
   turn_->body.append(request_.body);
-  Send();
+  OnPlaced(*outcome, asked_ms);
 }
 
 void GatewayCall::FinishTurn(bool keep, std::function<void(bool kept)> then) {
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -308,6 +308,7 @@
   if (!list || list->addresses() == nullptr) {
     return;
   }
+  entry_counts_[std::string(TextOf(list->self()))] = list->entries();
   for (const auto* text : *list->addresses()) {
     if (const auto endpoint = Endpoint::Parse(TextOf(text))) {
       hub_->Connect(*endpoint);
@@ -390,7 +391,8 @@
         .Add("born_ms", upstream.born_ms)
         .Add("limit", answer.limit.value_or(-1))
         .Add("before", before->limit.value_or(-1))
-        .Add("before_ms_ago", before->at_ms == 0 ? -1 : loop_.now_ms() - before->at_ms)
+        .Add("before_ms_ago",
+             before->at_ms == 0 ? -1 : loop_.now_ms() - before->at_ms)
         .Add("request", answer.request_id);
   }
 }
@@ -442,6 +444,7 @@
       candidate.failure_percent = health_.FailurePercent(upstream->instance);
     }
     candidate.cold = upstream->cold_left_ms > 0;
+    candidate.limited = limits_.LimitOf(*upstream).has_value();
     input.candidates.push_back(std::move(candidate));
   }
   return input;
@@ -456,7 +459,8 @@
     const PlacementCandidate& candidate = input.candidates[i];
     if (!candidate.tried && !candidate.suspected &&
         UpstreamKey(candidate.instance) == call.placed()) {
-      return ChosenUpstream{*ready[i], call.placed_load(), ready.size()};
+      return ChosenUpstream{*ready[i], call.placed_load(), ready.size(),
+                            candidate.limited, true};
     }
   }
   const auto chosen = PlaceRequest(input);
@@ -464,7 +468,48 @@
     return std::nullopt;
   }
   return ChosenUpstream{*ready[*chosen], input.candidates[*chosen].in_flight,
-                        ready.size()};
+                        ready.size(), input.candidates[*chosen].limited, false};
+}
+
+Gateway::Impl::ShareResult Gateway::Impl::PlaceByShare(
+    const std::string& service,
+    const GatewayCall& call) {
+  const int64_t now_ms = loop_.now_ms();
+  int64_t entries = 1;
+  for (const auto& [keeper, count] : entry_counts_) {
+    entries = std::max(entries, count);
+  }
+  auto ready = upstreams_.Ready(service, now_ms);
+  ShareResult result;
+  std::erase_if(ready, [&](const UpstreamInstance* upstream) {
+    const int64_t wait_ms =
+        limits_.ShareWaitMs(*upstream, entries, share_phase_, now_ms);
+    result.wait_ms = std::min(result.wait_ms.value_or(wait_ms), wait_ms);
+    return wait_ms > 0;
+  });
+  const PlacementInput input = BuildPlacementInput(ready, service, call);
+  if (const auto chosen = PlaceRequest(input)) {
+    limits_.TakeShare(*ready[*chosen], now_ms);
+    result.chosen =
+        ChosenUpstream{*ready[*chosen], input.candidates[*chosen].in_flight,
+                       ready.size(), input.candidates[*chosen].limited, true};
+  }
+  return result;
+}
+
+void Gateway::Impl::RecordPlacement(const fb::StateResultT& result,
+                                    const std::string& service,
+                                    int64_t asked_ms) {
+  for (const UpstreamInstance* upstream :
+       upstreams_.Ready(service, loop_.now_ms())) {
+    if (UpstreamKey(upstream->instance) == result.placed) {
+      limits_.OnTold(*upstream,
+                     result.placed_limit < 0
+                         ? std::nullopt
+                         : std::optional(result.placed_limit),
+                     asked_ms);
+    }
+  }
 }
 
 void Gateway::Impl::Offer(const std::string& service,
@@ -478,12 +523,23 @@
   if (!init_.mechanisms.load_balancer) {
     return;
   }
-  const PlacementInput input = BuildPlacementInput(
-      upstreams_.Ready(service, loop_.now_ms()), service, call);
+  const auto ready = upstreams_.Ready(service, loop_.now_ms());
+  if (init_.mechanisms.shared_limits) {
+    for (const UpstreamInstance* upstream : ready) {
+      if (const auto known = limits_.Recent(*upstream, loop_.now_ms())) {
+        begin.limits.emplace_back(
+            UpstreamKey(upstream->instance),
+            static_cast<uint32_t>(loop_.now_ms() - known->at_ms),
+            known->limit.value_or(-1));
+      }
+    }
+  }
+  const PlacementInput input = BuildPlacementInput(ready, service, call);
   for (const UpstreamOffer& offer : OfferPlacements(input)) {
     begin.offers.emplace_back(
         offer.upstream, units(offer.cost_us),
-        static_cast<uint8_t>(std::clamp(offer.slots, 1, UINT8_MAX)));
+        static_cast<uint8_t>(std::clamp(offer.slots, 1, UINT8_MAX)),
+        offer.cached);
   }
   // If this entry does not know where the previous turn ran, the state group
   // does.
--- a/src/gateway_limits_p.h
+++ b/src/gateway_limits_p.h
@@ -29,11 +29,29 @@
                                       int64_t now_ms);
   /// @returns requests per 1,000 s; nullopt: the incarnation named no limit
   std::optional<int64_t> LimitOf(const UpstreamInstance& upstream) const;
+  /// Records what the leader of the state group knows, unless this entry has
+  /// learned something since `sent_ms`.
+  void OnTold(const UpstreamInstance& upstream,
+              std::optional<int64_t> limit,
+              int64_t sent_ms);
+  /// @returns the observation, unless it is too old to be reported
+  std::optional<Observation> Recent(const UpstreamInstance& upstream,
+                                    int64_t now_ms) const;
+  /// Equal shares of the limits apply while no leader grants requests.
+  /// @param entries number of entries that share the limit
+  /// @param phase 0 to 1, different at each entry
+  /// @returns time until the share lets a request pass, ms; 0 without a limit
+  int64_t ShareWaitMs(const UpstreamInstance& upstream,
+                      int64_t entries,
+                      double phase,
+                      int64_t now_ms);
+  void TakeShare(const UpstreamInstance& upstream, int64_t now_ms);
   /// Forgets upstreams that have not answered for a long time.
   void Expire(int64_t now_ms);
 
  private:
   std::map<std::string, Observation> observations_;  ///< By instance.
+  std::map<std::string, RequestPacer> shares_;       ///< By instance.
 };
 
 }  // namespace ring
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -25,6 +25,8 @@
 
 /// Retry-After of a refusal that may succeed later.
 constexpr int64_t kRetryAfterMs = 300;
+/// Longest Retry-After of a refusal because of limits, without its spread.
+constexpr int64_t kMaxRetryAfterMs = 5'000;
 
 class Gateway::Impl final : public HttpServerHandlerI {
  public:
@@ -55,6 +57,15 @@
     UpstreamInstance upstream;
     int32_t in_flight = 0;  ///< Requests in flight there, as far as known.
     size_t candidates = 0;
+    bool limited = false;  ///< Has named a limit for its requests.
+    /// Chosen by the LoadBalancer or by the share of the limit.
+    bool granted = false;
+  };
+  /// Choice of an upstream by the equal shares of the limits.
+  struct ShareResult {
+    std::optional<ChosenUpstream> chosen;
+    /// Time until a share lets a request pass; nullopt: no upstream is ready.
+    std::optional<int64_t> wait_ms;
   };
   /// Chooses the upstream for the next attempt of a call.
   /// @returns nullopt if no upstream of the service is ready
@@ -64,6 +75,19 @@
   void Offer(const std::string& service,
              const GatewayCall& call,
              fb::BeginTurnT& begin) const;
+  /// Chooses among the upstreams whose limit, shared equally by all entries,
+  /// lets a request pass, and counts the request.
+  ShareResult PlaceByShare(const std::string& service, const GatewayCall& call);
+  /// Takes over the limit that the leader knows of the chosen upstream.
+  /// @param asked_ms when it was asked
+  void RecordPlacement(const fb::StateResultT& result,
+                       const std::string& service,
+                       int64_t asked_ms);
+  /// @returns an id for a request to the LoadBalancer that is no turn
+  std::string NextPlacementId() {
+    return init_.node + "/" + std::to_string(start_) + "/" +
+           std::to_string(++placements_);
+  }
   void RecordSent(const std::string& instance) { ++in_flight_[instance]; }
   void RecordEnded(const std::string& instance);
   void RecordFailure(const UpstreamInstance& upstream, Reason reason);
@@ -168,6 +192,12 @@
   std::unordered_map<std::string, int32_t> in_flight_;
   UpstreamHealth health_;
   UpstreamLimits limits_;
+  /// Number of entries connected to each keeper, by its address.
+  std::map<std::string, int64_t> entry_counts_;
+  /// Spreads the first requests of all entries to an upstream with a limit.
+  const double share_phase_ = std::uniform_real_distribution<double>()(random_);
+  const uint32_t start_ = random_();  ///< Tells starts of the entry apart.
+  uint64_t placements_ = 0;
   CrashDetector crash_detector_;
   SuspectTable suspects_;
   std::deque<ObservedCrash> unreported_;  ///< Not yet reported to a keeper.
@@ -235,7 +265,7 @@
 
   bool WaitForStartup();
   void BeginTurn();
-  void OnTurnBegun(const Outcome<fb::StateResultT>& outcome);
+  void OnTurnBegun(const Outcome<fb::StateResultT>& outcome, int64_t asked_ms);
   /// Records the result and the token use of the turn.
   /// @param keep the turn was answered completely and may be continued
   void FinishTurn(bool keep, std::function<void(bool kept)> then);
@@ -248,6 +278,15 @@
   }
   void Send();
   void SendTo(const Gateway::Impl::ChosenUpstream& placed);
+  /// @returns longest wait for an upstream with a limit, ms; shorter for less
+  ///          urgent requests, so that urgent ones are served first
+  int64_t patience_ms() const;
+  /// Asks the leader of the state group where the next attempt goes.
+  void RequestPlacement();
+  void OnPlaced(const fb::StateResultT& result, int64_t asked_ms);
+  void SendByShare();
+  void RefuseLimited(int64_t wait_ms);
+  void RefuseWithoutUpstream();
   void OnConnectTimeout();
   /// Called when the attempt is abandoned or has waited for a long time.
   void RecordUnanswered();
@@ -297,6 +336,8 @@
   CachedPrompt cached_;
   uint32_t placed_ = 0;
   int32_t placed_load_ = 0;
+  int32_t placement_requests_ = 0;
+  int64_t limit_wait_ms_ = 0;  ///< Waited for upstreams with limits.
 
   // The current attempt.
   UpstreamInstance upstream_;
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -28,11 +28,16 @@
 // second until it has retried.
 constexpr int64_t kFailurePercentUs = 10'000;
 constexpr int64_t kTriedUs = 10'000'000;
+// Time in which the leader of the state group grants a request to an upstream
+// with a limit.
+constexpr int64_t kLimitedUs = 20'000;
 constexpr int64_t kTieBreakUs = 400;
 // Maximum number of offers for one turn, in this region and in others. The log
 // entry of the turn carries them to every keeper, 8 bytes each.
 constexpr size_t kSameRegionOffers = 32;
 constexpr size_t kOtherRegionOffers = 4;
+// The same where upstreams have limits, as the best offers may be used up.
+constexpr size_t kOffersBesideLimits = 64;
 
 // Expected time to process prompt tokens, and by which that delays others.
 int64_t PrefillUs(const PlacementInput& input, int64_t tokens) {
@@ -61,6 +66,13 @@
   return nearest_us;
 }
 
+// Parts that many programs share, such as instructions, are cached nearly
+// everywhere; only the rest ties a turn to an upstream.
+bool MostIsCached(const PlacementInput& input,
+                  const PlacementCandidate& candidate) {
+  return candidate.cached_tokens * 2 > input.prompt_tokens;
+}
+
 // Cost that does not depend on the requests in flight.
 int64_t FixedCostUs(const PlacementInput& input,
                     const PlacementCandidate& candidate,
@@ -110,6 +122,7 @@
   for (size_t i = 0; i < input.candidates.size(); ++i) {
     const int64_t cost = FixedCostUs(input, input.candidates[i], nearest_us) +
                          LoadCostUs(input, input.candidates[i]) +
+                         (input.candidates[i].limited ? kLimitedUs : 0) +
                          TieBreakUs(input, i);
     if (!best || cost < best_cost) {
       best = i;
@@ -126,11 +139,13 @@
   for (size_t i = 0; i < input.candidates.size(); ++i) {
     const PlacementCandidate& candidate = input.candidates[i];
     if (!candidate.tried && !candidate.suspected) {
+      // The state group counts the open turns of engines only.
+      const int64_t load_us = input.engine ? 0 : LoadCostUs(input, candidate);
       (candidate.same_region ? near : far)
-          .push_back(
-              {UpstreamKey(candidate.instance),
-               FixedCostUs(input, candidate, nearest_us) + TieBreakUs(input, i),
-               candidate.slots});
+          .push_back({UpstreamKey(candidate.instance),
+                      FixedCostUs(input, candidate, nearest_us) + load_us +
+                          TieBreakUs(input, i),
+                      candidate.slots, MostIsCached(input, candidate)});
     }
   }
   const auto keep_best = [](std::vector<UpstreamOffer>& offers, size_t count) {
@@ -139,8 +154,13 @@
     });
     offers.resize(std::min(offers.size(), count));
   };
-  keep_best(far, near.empty() ? kSameRegionOffers : kOtherRegionOffers);
-  keep_best(near, kSameRegionOffers);
+  const bool limited =
+      std::any_of(input.candidates.begin(), input.candidates.end(),
+                  [](const auto& candidate) { return candidate.limited; });
+  keep_best(far, limited        ? kOffersBesideLimits
+                 : near.empty() ? kSameRegionOffers
+                                : kOtherRegionOffers);
+  keep_best(near, limited ? kOffersBesideLimits : kSameRegionOffers);
   near.insert(near.end(), far.begin(), far.end());
   return near;
 }
--- a/src/registrar_sessions.cc
+++ b/src/registrar_sessions.cc
@@ -116,6 +116,7 @@
     list.self = self->ToString();
   }
   list.vm = init_.vm;
+  list.entries = static_cast<uint32_t>(entries_.size());
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(fb::CreateKeeperList(builder, &list));
   return {.kind = FrameKind::KeeperList, .payload = BufferToString(builder)};
--- a/src/state_load.cc
+++ b/src/state_load.cc
@@ -79,9 +79,11 @@
     const std::string& turn,
     const std::vector<UpstreamOffer>& offers,
     int64_t now_ms,
-    int64_t expires_ms) {
+    int64_t expires_ms,
+    const TurnUrgency& urgency) {
   if (const auto found = turns_.find(turn); found != turns_.end()) {
-    return Placement{found->second.upstream, load(found->second.upstream) - 1};
+    return Placement{found->second.upstream, load(found->second.upstream) - 1,
+                     std::max<int64_t>(found->second.due_ms - now_ms, 0)};
   }
   if (offers.empty()) {
     return std::nullopt;
@@ -89,20 +91,92 @@
   const int64_t median_us = MedianEventUs(offers);
   const UpstreamOffer* best = nullptr;
   int64_t best_us = 0;
+  int64_t best_limit_ms = INT64_MAX;
   for (const UpstreamOffer& offer : offers) {
-    const int64_t wait_us = WaitUs(offer, median_us);
+    const int64_t limit_ms =
+        LimitWaitMs(offer.upstream, LevelOf(offer, urgency.priority), now_ms);
+    if (limit_ms > urgency.patience_ms) {
+      best_limit_ms =
+          best == nullptr ? std::min(best_limit_ms, limit_ms) : best_limit_ms;
+      continue;
+    }
+    const int64_t wait_us = WaitUs(offer, median_us) + limit_ms * kUsPerMs;
     if (best == nullptr || wait_us < best_us) {
       best = &offer;
       best_us = wait_us;
+      best_limit_ms = limit_ms;
     }
   }
-  const Placement placement{best->upstream, load(best->upstream)};
+  if (best == nullptr) {
+    return Placement{0, 0, best_limit_ms};
+  }
+  const Placement placement{best->upstream, load(best->upstream),
+                            best_limit_ms};
   turns_[turn] = {best->upstream, expires_ms, now_ms,
-                  placement.load >= best->slots};
+                  placement.load >= best->slots || best_limit_ms > 0,
+                  now_ms + best_limit_ms};
   ++loads_[best->upstream];
+  TakeLimit(best->upstream, LevelOf(*best, urgency.priority), now_ms);
   return placement;
 }
 
+LoadBalancer::Level LoadBalancer::LevelOf(const UpstreamOffer& offer,
+                                          int32_t priority) {
+  if (offer.cached) {
+    return priority <= 0 ? kCachedUrgent : kCached;
+  }
+  return priority <= 0 ? kUrgent : kOther;
+}
+
+void LoadBalancer::TakeLimit(uint32_t upstream, Level level, int64_t now_ms) {
+  const auto found = limits_.find(upstream);
+  for (size_t i = level; found != limits_.end() && i < kLevels; ++i) {
+    found->second.pacers[i].Take(now_ms);
+  }
+}
+
+void LoadBalancer::SetLimit(const UpstreamLimit& limit, int64_t now_ms) {
+  // The clock may have been set back since the last observation.
+  const int64_t at_ms = std::min(limit.at_ms, now_ms);
+  const auto found = limits_.find(limit.upstream);
+  if (now_ms - at_ms > kMaxLimitAgeMs ||
+      (found == limits_.end() && !limit.limit)) {
+    return;
+  }
+  Limit& known = limits_[limit.upstream];
+  const bool is_older =
+      known.observed.at_ms <= now_ms && at_ms <= known.observed.at_ms;
+  if (is_older) {
+    return;
+  }
+  known.observed = {limit.upstream, limit.limit, at_ms};
+  if (limit.limit) {
+    for (RequestPacer& pacer : known.pacers) {
+      pacer.SetLimit(*limit.limit, 1, now_ms);
+    }
+  }
+}
+
+std::optional<int64_t> LoadBalancer::limit(uint32_t upstream) const {
+  const auto found = limits_.find(upstream);
+  return found == limits_.end() ? std::nullopt : found->second.observed.limit;
+}
+
+std::optional<UpstreamLimit> LoadBalancer::observed(uint32_t upstream) const {
+  const auto found = limits_.find(upstream);
+  return found == limits_.end() ? std::nullopt
+                                : std::optional(found->second.observed);
+}
+
+int64_t LoadBalancer::LimitWaitMs(uint32_t upstream,
+                                  Level level,
+                                  int64_t now_ms) {
+  const auto found = limits_.find(upstream);
+  return found == limits_.end() || !found->second.observed.limit
+             ? 0
+             : found->second.pacers[level].WaitMs(now_ms);
+}
+
 void LoadBalancer::Cancel(const std::string& turn) {
   const auto found = turns_.find(turn);
   if (found != turns_.end()) {
@@ -150,6 +224,10 @@
   for (auto& [upstream, mean] : event_us_) {
     mean -= (mean - median_us) / kMeanDecayDivisor;
   }
+  std::erase_if(limits_, [now_ms](const auto& item) {
+    constexpr int64_t kRetentionMs = 600'000;
+    return item.second.observed.at_ms + kRetentionMs < now_ms;
+  });
   // The means of upstreams that are gone are not removed one by one.
   constexpr size_t kMaxMeans = 10'000;
   if (event_us_.size() > kMaxMeans) {
--- a/src/state_machine.cc
+++ b/src/state_machine.cc
@@ -147,6 +147,11 @@
   if (turn.empty()) {
     return Result(fb::StateCode::BadCommand);
   }
+  if (command.limited_ms() > 0) {
+    fb::StateResultT limited = Result(fb::StateCode::Limited);
+    limited.placed_wait_ms = command.limited_ms();
+    return limited;
+  }
   const auto previous_turn = turns_.find(previous);
   if (!previous.empty() && previous_turn == turns_.end()) {
     load_balancer_.Cancel(turn);
@@ -174,16 +179,23 @@
     result.last_upstream = previous_turn->second.turn->upstream;
     CollectChain(previous, TextOf(command.known()), result);
   }
-  if (const auto placement = PlaceTurn(command, now_ms_)) {
+  // Members count what the leader has granted, because each may lead next.
+  SetLimits(command, now_ms_);
+  if (const auto placement =
+          PlaceTurn(command, now_ms_, {.priority = command.priority()})) {
     result.placed = placement->upstream;
     result.placed_load = static_cast<uint16_t>(placement->load);
+    result.placed_wait_ms = static_cast<int32_t>(placement->wait_ms);
+    result.placed_limit =
+        load_balancer_.limit(placement->upstream).value_or(-1);
   }
   return result;
 }
 
 std::optional<LoadBalancer::Placement> RingStateMachine::Impl::PlaceTurn(
     const fb::BeginTurn& command,
-    int64_t now_ms) {
+    int64_t now_ms,
+    const TurnUrgency& urgency) {
   if (command.offers() == nullptr) {
     return std::nullopt;
   }
@@ -198,10 +210,25 @@
     if (offer->upstream() == last_upstream) {
       cost = std::max<int64_t>(cost - command.cached_cost(), 0);
     }
-    offers.push_back({offer->upstream(), cost * kCostUnitUs, offer->slots()});
+    offers.push_back({offer->upstream(), cost * kCostUnitUs, offer->slots(),
+                      offer->cached() || offer->upstream() == last_upstream});
   }
   return load_balancer_.Place(StringFrom(command.turn()), offers, now_ms,
-                              now_ms + command.wait_ms());
+                              now_ms + command.wait_ms(), urgency);
+}
+
+void RingStateMachine::Impl::SetLimits(const fb::BeginTurn& command,
+                                       int64_t now_ms) {
+  if (command.limits() == nullptr) {
+    return;
+  }
+  for (const fb::NamedLimit* row : *command.limits()) {
+    load_balancer_.SetLimit(
+        {row->upstream(),
+         row->limit() < 0 ? std::nullopt : std::optional(row->limit()),
+         now_ms - row->age_ms()},
+        now_ms);
+  }
 }
 
 // The load is known best to the leader, and only it replies to entries. The log
@@ -212,12 +239,28 @@
   const FlatBufferView<fb::StateCommand> view(command);
   const fb::BeginTurn* begin = view ? view->body_as_BeginTurn() : nullptr;
   if (begin == nullptr || begin->offers() == nullptr ||
-      begin->offers()->size() < 2) {
+      begin->offers()->size() == 0) {
     return command;
   }
-  const auto placement = PlaceTurn(*begin, time_ms);
+  SetLimits(*begin, time_ms);
+  const auto placement = PlaceTurn(
+      *begin, time_ms, {std::max(begin->patience_ms(), 0), begin->priority()});
   fb::BeginTurnT prepared;
   begin->UnPackTo(&prepared);
+  prepared.limits.clear();
+  if (const auto known = placement
+                             ? load_balancer_.observed(placement->upstream)
+                             : std::nullopt) {
+    const int64_t age_ms =
+        std::clamp<int64_t>(time_ms - known->at_ms, 0, kMaxLimitAgeMs);
+    prepared.limits.emplace_back(known->upstream, static_cast<uint32_t>(age_ms),
+                                 known->limit.value_or(-1));
+  }
+  // The log carries a refusal as well, so that all replicas apply the same.
+  prepared.limited_ms = placement && placement->upstream == 0
+                            ? static_cast<int32_t>(std::clamp<int64_t>(
+                                  placement->wait_ms, 1, INT32_MAX))
+                            : 0;
   std::erase_if(prepared.offers, [&](const fb::PlacementOffer& offer) {
     return !placement || offer.upstream() != placement->upstream;
   });
--- a/src/state_machine_p.h
+++ b/src/state_machine_p.h
@@ -67,7 +67,10 @@
   void Expire();
   /// Assigns a turn to one of the offered upstreams.
   std::optional<LoadBalancer::Placement> PlaceTurn(const fb::BeginTurn& command,
-                                                   int64_t now_ms);
+                                                   int64_t now_ms,
+                                                   const TurnUrgency& urgency);
+  /// Records the limits that the entry has observed.
+  void SetLimits(const fb::BeginTurn& command, int64_t now_ms);
   /// Stores a completed turn, so that later turns can continue it.
   void StoreTurn(const fb::FinishTurn& command);
   /// Extends the retention of a turn and its ancestors to at least
--- a/tests/gateway_limit_test.cc
+++ b/tests/gateway_limit_test.cc
@@ -119,5 +119,37 @@
   EXPECT_EQ(counts.refused, 0);
 }
 
+// Guards against a limit that is kept by refusing what could be served, and
+// against refusals that come late or do not say when to come back.
+TEST_F(GatewayLimitTest, AllUpstreamsLimited_TheirLimitIsServed) {
+  Serve(false, {"10"});
+  SendToAll("/order/1");
+  const Counts counts = SendMany("/order/1", 16);
+  EXPECT_LE(counts.limited, Allowed(10));
+  EXPECT_GE(counts.served, 18);
+  EXPECT_GT(counts.refused, 0);
+  EXPECT_LE(counts.slowest_refusal_ms, 300);
+  EXPECT_TRUE(counts.retry_after);
+}
+
+TEST_F(GatewayLimitTest, AnswerWithoutLimit_EndsTheLimit) {
+  Serve(false, {"2"});
+  SendToAll("/order/1");
+  ended_ = true;
+  const Counts counts = SendMany("/order/1", 1);
+  EXPECT_GE(counts.served, 30);
+}
+
+// Guards against limits that an entry out of reach of the keepers ignores.
+TEST_F(GatewayLimitTest, KeepersOutOfReach_TheShareIsKept) {
+  Serve(false, {"4"});
+  SendToAll("/order/1");
+  PauseKeeper();
+  const Counts counts = SendMany("/order/1", 4);
+  ResumeKeeper();
+  EXPECT_LE(counts.limited, Allowed(4));
+  EXPECT_GE(counts.served, 5);
+}
+
 }  // namespace
 }  // namespace ring
--- a/tests/state_load_test.cc
+++ b/tests/state_load_test.cc
@@ -93,6 +93,91 @@
   EXPECT_EQ(balancer_.Place("a", {}, 0, kNeverMs), std::nullopt);
 }
 
+/// Two upstreams; the first has named a limit of 5 requests per second.
+class LoadBalancerLimitTest : public LoadBalancerTest {
+ protected:
+  LoadBalancerLimitTest() {
+    balancer_.SetLimit({1, 5'000, kStartMs}, kStartMs);
+  }
+
+  /// Places 50 turns per second, as from many entries.
+  /// @returns turns placed at each upstream; 0: refused
+  std::map<uint32_t, int> PlaceFor(int64_t span_ms,
+                                   const std::vector<UpstreamOffer>& offers,
+                                   const TurnUrgency& urgency = {}) {
+    constexpr int64_t kIntervalMs = 20;
+    std::map<uint32_t, int> placed;
+    for (const int64_t end_ms = now_ms_ + span_ms; now_ms_ < end_ms;
+         now_ms_ += kIntervalMs) {
+      const std::string turn = "t" + std::to_string(++turns_);
+      const auto placement =
+          balancer_.Place(turn, offers, now_ms_, kNeverMs, urgency);
+      ++placed[placement->upstream];
+      balancer_.End(turn, placement->upstream, 0, now_ms_);
+    }
+    return placed;
+  }
+
+  static constexpr int64_t kStartMs = 10'000;
+  int64_t now_ms_ = kStartMs;
+  int turns_ = 0;
+};
+
+TEST_F(LoadBalancerLimitTest, TurnsOfAllEntries_KeepTheLimitTogether) {
+  auto placed = PlaceFor(4'000, OffersOf({0, 5'000}));
+  EXPECT_LE(placed[1], 25);
+  EXPECT_GE(placed[1], 15);
+  EXPECT_EQ(placed[1] + placed[2], 200);
+}
+
+TEST_F(LoadBalancerLimitTest, NoOtherUpstream_ServesTheLimitAndRefusesTheRest) {
+  auto placed = PlaceFor(4'000, OffersOf({0}), {200, 0});
+  EXPECT_GE(placed[1], 20);
+  EXPECT_LE(placed[1], 25);
+  EXPECT_EQ(placed[0], 200 - placed[1]);
+  const auto refused = balancer_.Place("x", OffersOf({0}), now_ms_, kNeverMs,
+                                       {.patience_ms = 0});
+  EXPECT_EQ(refused->upstream, 0u);
+  EXPECT_GT(refused->wait_ms, 0);
+  EXPECT_LE(refused->wait_ms, 400);
+}
+
+TEST_F(LoadBalancerLimitTest, UrgentTurns_DoNotWaitForOthers) {
+  PlaceFor(1'000, OffersOf({0}), {2'000, 1});
+  const auto urgent =
+      balancer_.Place("u", OffersOf({0}), now_ms_, kNeverMs, {2'000, 0});
+  EXPECT_EQ(urgent->upstream, 1u);
+  EXPECT_EQ(urgent->wait_ms, 0);
+}
+
+// Guards against processing prompts again elsewhere while the limit is spent on
+// turns that could run anywhere.
+TEST_F(LoadBalancerLimitTest, CachedTurns_ComeBeforeOthers) {
+  PlaceFor(1'000, OffersOf({0}), {2'000, 0});
+  auto offers = OffersOf({0});
+  offers[0].cached = true;
+  EXPECT_EQ(
+      balancer_.Place("c", offers, now_ms_, kNeverMs, {2'000, 1})->wait_ms, 0);
+}
+
+TEST_F(LoadBalancerLimitTest, LaterObservation_EndsTheLimit) {
+  balancer_.SetLimit({1, std::nullopt, kStartMs + 100}, kStartMs + 300);
+  balancer_.SetLimit({1, 5'000, kStartMs}, kStartMs + 300);
+  EXPECT_EQ(balancer_.limit(1), std::nullopt);
+  EXPECT_EQ(PlaceFor(1'000, OffersOf({0, 50'000}))[1], 50);
+}
+
+TEST_F(LoadBalancerLimitTest, OldObservation_IsNotTakenOver) {
+  balancer_.SetLimit({2, 1'000, kStartMs}, kStartMs + kMaxLimitAgeMs + 1);
+  EXPECT_EQ(balancer_.limit(2), std::nullopt);
+}
+
+// Guards against a limit that outlasts its end because the clock was set back.
+TEST_F(LoadBalancerLimitTest, ClockSetBack_NewerObservationCounts) {
+  balancer_.SetLimit({1, std::nullopt, kStartMs - 3'000}, kStartMs - 2'999);
+  EXPECT_EQ(balancer_.limit(1), std::nullopt);
+}
+
 struct BurstResult {
   int64_t p50_ms = 0;  ///< Wait of a turn until it starts.
   int64_t p90_ms = 0;  ///< The same.
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -456,7 +456,7 @@
     fb::BeginTurnT begin = BeginOf(turn, previous, 1'000, 100);
     begin.wait_ms = 4'000;
     for (const uint32_t upstream : {1u, 2u, 3u}) {
-      begin.offers.emplace_back(upstream, uint16_t{0}, uint8_t{8});
+      begin.offers.emplace_back(upstream, uint16_t{0}, uint8_t{8}, false);
     }
     return machine_.Prepare(state_codec::EncodeBegin(begin), now_ms_);
   }
@@ -485,13 +485,57 @@
 TEST_F(PreparedTurnTest, ThreeOffers_CommandShrinks) {
   fb::BeginTurnT begin = BeginOf("a", "", 1'000, 100);
   for (uint32_t upstream = 1; upstream <= 36; ++upstream) {
-    begin.offers.emplace_back(upstream, uint16_t{0}, uint8_t{8});
+    begin.offers.emplace_back(upstream, uint16_t{0}, uint8_t{8}, false);
   }
   const std::string command = state_codec::EncodeBegin(begin);
   EXPECT_LT(machine_.Prepare(command, now_ms_).size() + 35 * 8,
             command.size() + 8);
 }
 
+// Guards against replicas that disagree on the budget of a refused turn.
+TEST_F(PreparedTurnTest, LimitsUsedUp_EveryReplicaRefuses) {
+  const auto prepare = [this](const std::string& turn) {
+    fb::BeginTurnT begin = BeginOf(turn, "", 1'000, 100);
+    begin.wait_ms = 4'000;
+    begin.offers.emplace_back(1u, uint16_t{0}, uint8_t{8}, false);
+    begin.limits.emplace_back(1u, 0u, int64_t{1'000});
+    return machine_.Prepare(state_codec::EncodeBegin(begin), now_ms_);
+  };
+  RingStateMachine follower{RingStateMachine::Init{}, nullptr};
+  const auto follow = [&](const std::string& command) {
+    return *state_codec::DecodeResult(follower.Apply(1, now_ms_, command));
+  };
+  now_ms_ = 100'000;
+  const std::string first = prepare("a");
+  const std::string second = prepare("b");
+  EXPECT_EQ(Apply(first).placed, 1u);
+  EXPECT_EQ(follow(first).placed, 1u);
+  const fb::StateResultT refused = Apply(second);
+  EXPECT_EQ(refused.code, fb::StateCode::Limited);
+  EXPECT_GT(refused.placed_wait_ms, 0);
+  EXPECT_EQ(follow(second).code, fb::StateCode::Limited);
+  EXPECT_EQ(machine_.Save(), follower.Save());
+}
+
+// Guards against a new leader that grants the whole limit once more.
+TEST_F(PreparedTurnTest, LeaderChanges_GrantsGoOnBeingCounted) {
+  now_ms_ = 100'000;
+  const auto encode = [this](const std::string& turn, uint32_t age_ms) {
+    fb::BeginTurnT begin = BeginOf(turn, "", 1'000, 100);
+    begin.wait_ms = 4'000;
+    begin.offers.emplace_back(1u, uint16_t{0}, uint8_t{8}, false);
+    if (age_ms < kMaxLimitAgeMs) {
+      begin.limits.emplace_back(1u, age_ms, int64_t{1'000});
+    }
+    return state_codec::EncodeBegin(begin);
+  };
+  RingStateMachine follower{RingStateMachine::Init{}, nullptr};
+  follower.Apply(1, now_ms_, machine_.Prepare(encode("a", 0), now_ms_));
+  const auto refused = state_codec::DecodeResult(follower.Apply(
+      2, now_ms_, follower.Prepare(encode("b", kMaxLimitAgeMs), now_ms_)));
+  EXPECT_EQ(refused->code, fb::StateCode::Limited);
+}
+
 TEST_F(PreparedTurnTest, TurnIsRefused_ItsLoadIsReleased) {
   EXPECT_EQ(Apply(Prepared("a", "missing")).code, fb::StateCode::UnknownTurn);
   EXPECT_EQ(Apply(Prepared("b")).placed_load, 0);
