Log whether an entry can connect to any upstream

UpstreamLinks follows all attempts to connect; when those to two upstreams fail in a row, one upstream of each service is probed. The result is logged (upstream_links) and exported, and decides nothing yet. Connections to upstreams go through an interface, so that tests can cut the links of one entry; the fixture can run several entries.

--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -273,6 +273,10 @@
   std::vector<const UpstreamInstance*> Ready(const std::string& service,
                                              int64_t now_ms) const;
   const UpstreamInstance* Find(const std::string& instance) const;
+  /// @returns the ready upstreams of all services that at least one keeper
+  ///          receives announcements of, by service
+  std::map<std::string, std::vector<const UpstreamInstance*>> ReadyByService()
+      const;
   size_t size() const { return rows_.size(); }
   /// Removes upstreams that are gone and that no keeper receives announcements
   /// of any more.
@@ -350,6 +354,17 @@
 
 // --------------------------------------------------------------------- gateway
 
+/// Opens connections to upstreams.
+class UpstreamConnectorI {
+ public:
+  virtual ~UpstreamConnectorI() = default;
+  /// @returns null if the attempt could not be started
+  virtual std::unique_ptr<HttpClientConnection> Connect(
+      EventLoop& loop,
+      const TcpConnection::Init& init,
+      const Endpoint& endpoint) = 0;
+};
+
 /// Mechanisms of deciding. Experiments switch one off to measure its worth.
 struct GatewayMechanisms {
   /// Turns are placed by the open turns of all entries.
@@ -390,6 +405,9 @@
   /// Limit for the data of all events of a turn.
   size_t max_turn_bytes = 2u << 20;
   GatewayMechanisms mechanisms;
+  /// Opens the connections to upstreams; null: over TCP. Must outlive the
+  /// gateway.
+  UpstreamConnectorI* connector = nullptr;
 };
 
 /// The data path. Runs on the event loop and receives frames on the hub's
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -516,7 +516,13 @@
     on_unusable_ = std::move(callback);
   }
 
-  void OnConnected() override { connect_ms_ = loop_.now_ms() - start_ms_; }
+  /// Sets a callback for the end of the connection attempt; it gets true if the
+  /// connection was established. Not called after Cancel().
+  void OnConnectResult(std::function<void(bool established)> callback) {
+    on_connect_ = std::move(callback);
+  }
+
+  void OnConnected() override;
   void OnBytes(std::string_view bytes) override;
   void OnClosed(CloseKind kind) override;
   void OnHead(HttpHead head) override;
@@ -536,6 +542,7 @@
   HttpParser parser_;
   HttpExchangeListenerI* listener_ = nullptr;
   std::function<void()> on_unusable_;
+  std::function<void(bool)> on_connect_;
   bool skipping_ = false;
   int32_t interim_responses_ = 0;
   size_t skipped_bytes_ = 0;
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -335,6 +335,7 @@
 // No part of the request is sent before the connection is established.
 void GatewayCall::OnConnectTimeout() {
   if (connection_ && !connection_->connected()) {
+    gateway_.RecordConnect(upstream_.address, false);
     OnExchangeFailed(ExchangeFailure::kNotConnected);
   }
 }
--- a/src/gateway_crash_detector.cc
+++ b/src/gateway_crash_detector.cc
@@ -54,9 +54,7 @@
         started_ms_(detector.loop_.now_ms()),
         observation_{upstream, lost_ms, {}},
         timer_(detector.loop_),
-        connection_(HttpClientConnection::Connect(detector.loop_,
-                                                  {},
-                                                  upstream.address)) {
+        connection_(detector.connect_(upstream.address)) {
     if (connection_) {
       connection_->Start(
           this, detector.protocol_.EncodeHealthCheck(upstream, health_path),
@@ -109,10 +107,12 @@
 
 CrashDetector::CrashDetector(EventLoop& loop,
                              const CallerProtocolI& protocol,
+                             Connect connect,
                              Crashed crashed,
                              Leaving leaving)
     : loop_(loop),
       protocol_(protocol),
+      connect_(std::move(connect)),
       crashed_(std::move(crashed)),
       leaving_(std::move(leaving)) {}
 CrashDetector::~CrashDetector() = default;
--- a/src/gateway_crash_detector_p.h
+++ b/src/gateway_crash_detector_p.h
@@ -42,12 +42,16 @@
  public:
   using Crashed = std::function<void(const ObservedCrash& crash)>;
   using Leaving = std::function<void(const UpstreamInstance& upstream)>;
+  using Connect = std::function<std::unique_ptr<HttpClientConnection>(
+      const Endpoint& upstream)>;
 
+  /// @param connect opens the connections of health checks
   /// @param crashed called for each detected crash
   /// @param leaving called for upstreams whose health check response says that
   ///        they are leaving
   CrashDetector(EventLoop& loop,
                 const CallerProtocolI& protocol,
+                Connect connect,
                 Crashed crashed,
                 Leaving leaving);
   ~CrashDetector();
@@ -109,6 +113,7 @@
 
   EventLoop& loop_;
   const CallerProtocolI& protocol_;
+  const Connect connect_;
   const Crashed crashed_;
   const Leaving leaving_;
   std::map<std::string, std::shared_ptr<Check>> checks_;       ///< By instance.
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -73,12 +73,19 @@
     : init_(init),
       protocol_(protocol),
       loop_(loop),
-      pool_(loop),
+      pool_(loop,
+            init.connector,
+            [this](const Endpoint& upstream, bool established) {
+              RecordConnect(upstream, established);
+            }),
       chains_(init.chain_cache_bytes),
       affinity_(kAffinityEntries),
+      probe_timer_(loop),
+      next_probe_timer_(loop),
       crash_detector_(
           loop,
           protocol,
+          [this](const Endpoint& upstream) { return pool_.Open(upstream); },
           [this](const ObservedCrash& crash) { OnCrash(crash); },
           [this](const UpstreamInstance& upstream) {
             RecordLeaving(upstream, "health_check", "");
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -15,6 +15,7 @@
 #include "gateway_events_p.h"
 #include "gateway_health_p.h"
 #include "gateway_limits_p.h"
+#include "gateway_links_p.h"
 #include "gateway_pool_p.h"
 #include "gateway_suspects_p.h"
 #include "persimmonring/gateway.h"
@@ -116,6 +117,8 @@
   /// Called with each answer of an upstream to its request.
   void RecordLimit(const UpstreamInstance& upstream,
                    const UpstreamResponse& answer);
+  /// Called when an attempt to connect to an upstream ended or timed out.
+  void RecordConnect(const Endpoint& upstream, bool established);
   void RecordError(const std::string& instance) { health_.OnError(instance); }
   void RecordSuccess(const std::string& instance) {
     health_.OnSuccess(instance);
@@ -156,6 +159,10 @@
   void OnKeeperList(const std::string& payload);
   void OnSuspectList(const std::string& payload);
   void OnCrash(ObservedCrash crash);
+  /// Tries to connect to one upstream of each service, in turn.
+  void ProbeLinks();
+  void OnProbed(bool reached);
+  void LogLinks(UpstreamLinks::State before);
   void ReportCrashes();
   void OnCrashesReported(const ObservedCrash& last,
                          const Outcome<fb::StateResultT>& outcome);
@@ -191,6 +198,12 @@
   /// Requests of this entry, by instance.
   std::unordered_map<std::string, int32_t> in_flight_;
   UpstreamHealth health_;
+  UpstreamLinks links_;
+  int64_t links_changed_ms_ = 0;
+  ScopedTimer probe_timer_;  ///< Limits the probe that is under way.
+  ScopedTimer next_probe_timer_;
+  std::vector<ConnectionPool::Connection> probes_;
+  size_t probes_open_ = 0;  ///< Probes without a result.
   UpstreamLimits limits_;
   /// Number of entries connected to each keeper, by its address.
   std::map<std::string, int64_t> entry_counts_;
--- a/src/gateway_pool.cc
+++ b/src/gateway_pool.cc
@@ -20,7 +20,10 @@
 
 }  // namespace
 
-ConnectionPool::ConnectionPool(EventLoop& loop) : loop_(loop) {
+ConnectionPool::ConnectionPool(EventLoop& loop,
+                               UpstreamConnectorI* connector,
+                               ConnectObserver observer)
+    : loop_(loop), connector_(connector), observer_(std::move(observer)) {
   loop_.Every(kSweepMs, [this] { CloseExpired(); });
 }
 
@@ -45,8 +48,17 @@
 
 ConnectionPool::Connection ConnectionPool::Open(const Endpoint& endpoint) {
   metrics::Count("ring_upstream_connects_total");
-  return HttpClientConnection::Connect(
-      loop_, {.user_timeout_ms = kUserTimeoutMs}, endpoint);
+  const TcpConnection::Init init{.user_timeout_ms = kUserTimeoutMs};
+  Connection connection =
+      connector_ == nullptr
+          ? HttpClientConnection::Connect(loop_, init, endpoint)
+          : connector_->Connect(loop_, init, endpoint);
+  if (connection) {
+    connection->OnConnectResult([this, endpoint](bool established) {
+      observer_(endpoint, established);
+    });
+  }
+  return connection;
 }
 
 void ConnectionPool::Release(const Endpoint& endpoint, Connection connection) {
--- a/src/gateway_pool_p.h
+++ b/src/gateway_pool_p.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "persimmonring/net.h"
+#include "persimmonring/gateway.h"
 
 namespace ring {
 
@@ -15,7 +16,14 @@
  public:
   using Connection = std::unique_ptr<HttpClientConnection>;
 
-  explicit ConnectionPool(EventLoop& loop);
+  /// Receives how an attempt to open a connection ended.
+  using ConnectObserver =
+      std::function<void(const Endpoint& endpoint, bool established)>;
+
+  /// @param connector null: connects over TCP
+  ConnectionPool(EventLoop& loop,
+                 UpstreamConnectorI* connector,
+                 ConnectObserver observer);
 
   /// @returns an idle connection or a new one; null if none can be opened
   Connection Acquire(const Endpoint& endpoint);
@@ -36,6 +44,8 @@
   void CloseExpired();
 
   EventLoop& loop_;
+  UpstreamConnectorI* const connector_;
+  const ConnectObserver observer_;
   std::map<std::string, std::vector<Idle>> idle_;
 };
 
--- a/src/gateway_upstream_table.cc
+++ b/src/gateway_upstream_table.cc
@@ -139,6 +139,17 @@
   return ready;
 }
 
+std::map<std::string, std::vector<const UpstreamInstance*>>
+UpstreamTable::ReadyByService() const {
+  std::map<std::string, std::vector<const UpstreamInstance*>> ready;
+  for (const auto& [instance, row] : rows_) {
+    if (!row.heard_by.empty() && row.upstream.state == UpstreamState::kReady) {
+      ready[row.upstream.service].push_back(&row.upstream);
+    }
+  }
+  return ready;
+}
+
 const UpstreamInstance* UpstreamTable::Find(const std::string& instance) const {
   const auto it = rows_.find(instance);
   return it == rows_.end() ? nullptr : &it->second.upstream;
--- a/src/net_http_client.cc
+++ b/src/net_http_client.cc
@@ -72,8 +72,16 @@
   connection_->Write(whole);
 }
 
+void HttpClientConnection::OnConnected() {
+  connect_ms_ = loop_.now_ms() - start_ms_;
+  if (on_connect_) {
+    std::exchange(on_connect_, nullptr)(true);
+  }
+}
+
 void HttpClientConnection::Cancel() {
   listener_ = nullptr;
+  on_connect_ = nullptr;
   broken_ = true;
   connection_->Close();
 }
@@ -138,6 +146,9 @@
 
 void HttpClientConnection::OnClosed(CloseKind kind) {
   broken_ = true;
+  if (on_connect_) {
+    std::exchange(on_connect_, nullptr)(false);
+  }
   if (listener_ == nullptr) {
     if (on_unusable_) {
       on_unusable_();
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -431,7 +431,7 @@
   const std::string request =
       "GET /read/1 HTTP/1.1\r\nHost: h\r\nPersimmonring-Request-Id: r\r\n\r\n";
   send(fd, request.data(), request.size(), MSG_NOSIGNAL);
-  entry_loop_->Post([this] { gateway_->Drain([] {}); });
+  entry_->Drain([] {});
   const CallerResponse answer = ReadResponse(fd);
   EXPECT_EQ(answer.status(), 200);
   EXPECT_NE(answer.text.find("Connection: close"), std::string::npos);
@@ -451,7 +451,7 @@
   });
   ConfigureAll();
   std::atomic<bool> drained{false};
-  entry_loop_->Post([&] { gateway_->Drain([&drained] { drained = true; }); });
+  entry_->Drain([&drained] { drained = true; });
   std::this_thread::sleep_for(kBeforeTheEnd);
   const int fd = Connect();
   std::this_thread::sleep_for(kAfterTheEnd);
@@ -480,7 +480,7 @@
   Announce("i-1", "tool", upstream.endpoint());
   Configure(1, RouteOf("read", "safe", "tool"));
   EXPECT_EQ(Get("/read/1", "Request-Id: r1").status(), 200);
-  entry_loop_->Post([this] { gateway_->Drain([] {}); });
+  entry_->Drain([] {});
   WaitFor([this] { return Get("/read/1", "Request-Id: r2").status() == 503; });
   const CallerResponse refused = Get("/read/1", "Request-Id: r3");
   EXPECT_NE(refused.text.find("Retry-After"), std::string::npos);
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -27,6 +27,48 @@
   }
 };
 
+/// Adds the threads of a process to a supervisor.
+inline void AddLoop(Supervisor& threads, Hub& hub, EventLoop& loop) {
+  threads.AddWorker(
+      "network", [&hub](const StopToken& stop) { return hub.Run(stop); },
+      [&hub] { hub.Wake(); });
+  threads.AddWorker(
+      "loop", [&loop](const StopToken& stop) { return loop.Run(stop); },
+      [&loop] { loop.Wake(); });
+}
+
+/// An entry that runs in this process.
+class TestEntry {
+ public:
+  TestEntry(const GatewayInit& init, const CallerProtocolI& protocol)
+      : gateway_(init, protocol, loop_) {
+    auto hub = Hub::Create({.ring = "test",
+                            .node = init.node,
+                            .domain = init.domain,
+                            .region = init.region},
+                           gateway_);
+    RING_CHECK(hub.ok());
+    hub_ = std::move(*hub);
+    RING_CHECK(gateway_.Start(*hub_).ok());
+    AddLoop(threads_, *hub_, loop_);
+    threads_.Start();
+  }
+  ~TestEntry() { threads_.Stop(); }
+  TestEntry(const TestEntry&) = delete;
+  TestEntry& operator=(const TestEntry&) = delete;
+
+  /// Stops accepting work, like an entry that gets a stop signal.
+  void Drain(std::function<void()> done) {
+    loop_.Post([this, done = std::move(done)] { gateway_.Drain(done); });
+  }
+
+ private:
+  EventLoop loop_{SystemClock()};
+  Gateway gateway_;
+  std::unique_ptr<Hub> hub_;
+  Supervisor threads_{Supervisor::Init{.name = "entry"}};
+};
+
 /// Runs a ring of one keeper and one entry in this process, with scripted
 /// upstreams.
 class GatewayTest : public testing::Test {
@@ -47,7 +89,7 @@
   }
 
   ~GatewayTest() override {
-    entry_threads_->Stop();
+    entry_.reset();
     keeper_threads_->Stop();
     log_threads_->Stop();
   }
@@ -195,13 +237,25 @@
 
   /// Replaces the entry by a newly started one.
   void RestartEntry() {
-    entry_threads_->Stop();
-    entry_threads_.reset();
-    entry_hub_.reset();
-    gateway_.reset();
+    entry_.reset();
     StartEntry();
   }
 
+  /// @returns the options of the entry that the callers of this fixture reach
+  GatewayInit EntryInit() {
+    GatewayInit init;
+    init.node = "entry";
+    init.domain = "domain";
+    init.region = "region";
+    init.regions = {{"domain", "region"}};
+    init.listen = listen_;
+    init.ready_listen = ready_;
+    init.keepers = {wire_};
+    init.grace_ms = grace_ms_;
+    init.connector = &connector_;
+    return init;
+  }
+
   static void WaitFor(const std::function<bool()>& condition) {
     const int64_t end_ms = SystemClock().NowMs() + kTimeoutMs;
     while (!condition()) {
@@ -304,59 +358,46 @@
   }
 
   void StartEntry() {
-    entry_loop_ = std::make_unique<EventLoop>(SystemClock());
-    GatewayInit init;
-    init.node = "entry";
-    init.domain = "domain";
-    init.region = "region";
-    init.regions = {{"domain", "region"}};
-    init.listen = listen_;
-    init.ready_listen = ready_;
-    init.keepers = {wire_};
-    init.grace_ms = grace_ms_;
-    gateway_ = std::make_unique<Gateway>(init, protocol_, *entry_loop_);
-    auto hub = Hub::Create({.ring = "test",
-                            .node = "entry",
-                            .domain = "domain",
-                            .region = "region"},
-                           *gateway_);
-    ASSERT_TRUE(hub.ok()) << hub.refusal().message;
-    entry_hub_ = std::move(*hub);
-    const Status started = gateway_->Start(*entry_hub_);
-    ASSERT_TRUE(started.ok()) << started.refusal().message;
-    entry_threads_ =
-        std::make_unique<Supervisor>(Supervisor::Init{.name = "entry"});
-    AddLoop(*entry_threads_, *entry_hub_, *entry_loop_);
-    entry_threads_->Start();
-  }
-
-  static void AddLoop(Supervisor& threads, Hub& hub, EventLoop& loop) {
-    threads.AddWorker(
-        "network", [&hub](const StopToken& stop) { return hub.Run(stop); },
-        [&hub] { hub.Wake(); });
-    threads.AddWorker(
-        "loop", [&loop](const StopToken& stop) { return loop.Run(stop); },
-        [&loop] { loop.Wake(); });
+    entry_ = std::make_unique<TestEntry>(EntryInit(), protocol_);
   }
 
  protected:
+  /// Connects to upstreams, unless the test has cut the links.
+  class Connector final : public UpstreamConnectorI {
+   public:
+    std::unique_ptr<HttpClientConnection> Connect(
+        EventLoop& loop,
+        const TcpConnection::Init& init,
+        const Endpoint& endpoint) override {
+      std::lock_guard lock(mutex_);
+      return HttpClientConnection::Connect(loop, init,
+                                           instead_.value_or(endpoint));
+    }
+    /// @param endpoint connected to instead of each upstream; nullopt: none
+    void Replace(const std::optional<Endpoint>& endpoint) {
+      std::lock_guard lock(mutex_);
+      instead_ = endpoint;
+    }
+
+   private:
+    std::mutex mutex_;
+    std::optional<Endpoint> instead_;
+  };
+
   const int64_t grace_ms_;
   const platform::PlatformProtocol protocol_;
+  Connector connector_;
   const Endpoint wire_;
   const Endpoint listen_;
   const Endpoint ready_;
   EventLoop keeper_loop_{SystemClock()};
-  std::unique_ptr<EventLoop>
-      entry_loop_;  // Created anew for each start of the entry.
   uint64_t sequence_ = 0;
   std::unique_ptr<Registrar> registrar_;
   std::unique_ptr<KeeperHost> host_;
   std::unique_ptr<Hub> keeper_hub_;
-  std::unique_ptr<Gateway> gateway_;
-  std::unique_ptr<Hub> entry_hub_;
+  std::unique_ptr<TestEntry> entry_;
   std::unique_ptr<Supervisor> log_threads_;
   std::unique_ptr<Supervisor> keeper_threads_;
-  std::unique_ptr<Supervisor> entry_threads_;
 };
 
 /// Adds upstreams and a configuration with a route of each kind.
