Reach upstreams through other entries while the own links are lost

Cause: an entry had one way to an upstream. It tried up to five upstreams one by one although all failed alike, held each for suspected, and reported 73 crashes that did not happen. Class: a fault of the entry's own side was taken for one of the other side. Evidence: the lost links follow at once from the attempts to connect, see the upstream_links line; other entries answered with the same upstreams all the while.

Fix: each entry relays connections to upstreams (RelayServer); keepers list the addresses. The request, its attempts, budget and answer stay with the entry that took it; nothing of a request is sent before the relay has confirmed the connection, so not_run stays true and orders run at most once. Suspicions are dropped when the links turn out to be lost, and an upstream counts as crashed only if another one is reached.

--- a/include/persimmonring/gateway.h
+++ b/include/persimmonring/gateway.h
@@ -278,6 +278,8 @@
   std::map<std::string, std::vector<const UpstreamInstance*>> ReadyByService()
       const;
   size_t size() const { return rows_.size(); }
+  /// @returns true if an upstream that is not gone has the address
+  bool KnowsAddress(const Endpoint& address) const;
   /// Removes upstreams that are gone and that no keeper receives announcements
   /// of any more.
   void Prune(int64_t now_ms);
@@ -379,6 +381,8 @@
   bool startup_wait = true;
   /// Placement rests on observed times instead of defaults.
   bool observed_times = true;
+  /// An entry without links to upstreams reaches them through other entries.
+  bool relays = true;
   /// The leader of the state group grants requests to upstreams with a limit.
   bool shared_limits = true;
 
@@ -392,6 +396,8 @@
   std::map<std::string, std::string> regions;  ///< Region of each domain.
   Endpoint listen;                             ///< Serves callers.
   Endpoint ready_listen;                       ///< Serves GET /ready.
+  /// Relays connections of other entries to upstreams; unset: does not.
+  std::optional<Endpoint> relay_listen;
   /// Some keepers to connect to first; the others are learned from them.
   std::vector<Endpoint> keepers;
   int64_t drain_notice_ms = 2'500;  ///< Time until the load balancer notices
--- a/include/persimmonring/net.h
+++ b/include/persimmonring/net.h
@@ -489,6 +489,15 @@
       const TcpConnection::Init& init,
       const Endpoint& endpoint);
 
+  /// Connects through a relay, which connects to the endpoint. Nothing of a
+  /// request is sent before the relay has confirmed the connection.
+  /// @returns null if the connection attempt could not be started
+  static std::unique_ptr<HttpClientConnection> ConnectVia(
+      EventLoop& loop,
+      const TcpConnection::Init& init,
+      const Endpoint& relay,
+      const Endpoint& endpoint);
+
   /// Sends a request. The previous one must be complete.
   /// @param listener receives the response; must stay valid until it ends
   /// @param head start line and headers, with the final empty line
@@ -499,7 +508,9 @@
   void SetReading(bool on) { connection_->SetReading(on); }
   /// Closes the connection without a further event to the listener.
   void Cancel();
-  bool connected() const { return connection_->connected(); }
+  bool connected() const { return connection_->connected() && !relaying_; }
+  /// @returns the status with which a relay refused to connect; 0: none
+  int relay_status() const { return relay_status_; }
   /// @returns true if the connection can carry another request
   bool reusable() const;
   /// @returns the idle timeout that the server announced in its Keep-Alive
@@ -534,9 +545,19 @@
                        std::unique_ptr<TcpConnection> connection);
   void Fail(ExchangeFailure failure);
   void EndExchange();
+  void Write(std::string_view bytes);
+  /// Reads the answer of the relay.
+  /// @returns the bytes that follow it
+  std::string_view ReadRelayAnswer(std::string_view bytes);
+  void OnEstablished();
 
   EventLoop& loop_;
   const int64_t start_ms_;
+  bool relaying_ = false;  ///< The relay has not confirmed the connection yet.
+  std::string relay_request_;
+  std::string relay_answer_;
+  int relay_status_ = 0;
+  std::string held_;  ///< Sent once the relay has confirmed the connection.
   int64_t connect_ms_ = 0;
   std::unique_ptr<TcpConnection> connection_;
   HttpParser parser_;
--- a/include/persimmonring/wire.h
+++ b/include/persimmonring/wire.h
@@ -55,6 +55,8 @@
   std::string region;
   /// Start time of the peer process, Unix ms.
   uint64_t incarnation = 0;
+  /// Address at which the peer relays connections; empty: it does not.
+  std::string relay;
 
   auto operator<=>(const PeerInfo&) const = default;
 };
@@ -105,7 +107,8 @@
     std::string node;
     std::string domain;
     std::string region;
-    Endpoint listen;  ///< Address to listen on; invalid: do not listen.
+    Endpoint listen;    ///< Address to listen on; invalid: do not listen.
+    std::string relay;  ///< See PeerInfo::relay.
     /// Sends a Ping when nothing else was sent for this time.
     int64_t ping_period_ms = 500;
     /// Closes a session when nothing was received for this time.
--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -10,6 +10,8 @@
 // A connection attempt that takes longer fails and another upstream is tried.
 // Healthy upstreams accept within a round trip between regions (16 ms).
 constexpr int64_t kConnectTimeoutMs = 300;
+// The same through a relay, which connects to the upstream in turn.
+constexpr int64_t kRelayedConnectTimeoutMs = 2 * kConnectTimeoutMs;
 // Longest time that a request waits for a starting entry to learn where to send
 // it.
 constexpr int64_t kMaxStartupWaitMs = 1'200;
@@ -269,9 +271,20 @@
   // own one by its request id only. Opens a new connection where that does not
   // suffice: for repeated attempts at an address, which may belong to another
   // instance by now, and for requests without an id.
-  connection_ = sent_there || info_.id.empty()
-                    ? gateway_.pool().Open(upstream.address)
-                    : gateway_.pool().Acquire(upstream.address);
+  const bool must_open = sent_there || info_.id.empty();
+  relay_ = gateway_.ChooseRelay();
+  if (relay_) {
+    connection_ =
+        must_open ? nullptr : gateway_.pool().TakeIdle(upstream.address);
+    if (connection_) {
+      relay_.reset();
+    } else {
+      connection_ = gateway_.pool().OpenVia(*relay_, upstream.address);
+    }
+  } else {
+    connection_ = must_open ? gateway_.pool().Open(upstream.address)
+                            : gateway_.pool().Acquire(upstream.address);
+  }
   if (!connection_) {
     return RetryOrRefuse({Reason::kUpstreamRefused, RunState::kNotRun,
                           "no connection to the upstream could be opened",
@@ -288,7 +301,8 @@
   sent_ = true;
   gateway_.RecordSent(upstream.instance);
   if (!connection_->connected()) {
-    connect_timer_.Start(kConnectTimeoutMs, [this] { OnConnectTimeout(); });
+    connect_timer_.Start(relay_ ? kRelayedConnectTimeoutMs : kConnectTimeoutMs,
+                         [this] { OnConnectTimeout(); });
   }
   if (gateway_.init().mechanisms.attempt_timeouts && may_repeat() &&
       runs_ + 1 < route_->max_attempts) {
@@ -335,7 +349,9 @@
 // No part of the request is sent before the connection is established.
 void GatewayCall::OnConnectTimeout() {
   if (connection_ && !connection_->connected()) {
-    gateway_.RecordConnect(upstream_.address, false);
+    if (!relay_) {
+      gateway_.RecordConnect(upstream_.address, false, true);
+    }
     OnExchangeFailed(ExchangeFailure::kNotConnected);
   }
 }
@@ -352,7 +368,7 @@
     return;
   }
   send_error_ = connection_->send_error();
-  if (reuse && !info_.id.empty()) {
+  if (reuse && !info_.id.empty() && !relay_) {
     gateway_.pool().Release(upstream_.address, std::move(connection_));
   } else {
     gateway_.pool().Discard(std::move(connection_));
@@ -361,7 +377,11 @@
 
 void GatewayCall::OnExchangeFailed(ExchangeFailure failure) {
   const bool not_sent = failure == ExchangeFailure::kNotConnected;
+  const int relay_status = connection_->relay_status();
   ReleaseConnection(false);
+  if (relay_ && not_sent) {
+    gateway_.RecordRelayed(*relay_, upstream_.address, false, relay_status);
+  }
   Reason reason = Reason::kUpstreamReset;
   if (not_sent) {
     reason = Reason::kUpstreamRefused;
@@ -370,7 +390,15 @@
   } else if (failure == ExchangeFailure::kMalformed) {
     reason = Reason::kUpstreamError;
   }
-  gateway_.RecordFailure(upstream_, reason);
+  const bool is_upstream_unreachable =
+      relay_ ? relay_status == kRelayUpstreamUnreachable : gateway_.links_up();
+  if (!not_sent || is_upstream_unreachable) {
+    gateway_.RecordFailure(upstream_, reason);
+  } else if (relay_) {
+    // The upstream has not been tried; another relay may reach it.
+    tried_.erase(upstream_.instance);
+    --sends_;
+  }
   if (!not_sent) {
     may_have_run_ = true;
     ++runs_;
@@ -494,6 +522,7 @@
       .Add("reason", refusal.reason)
       .Add("run", ToString(refusal.run_state))
       .Add("upstream", upstream_.instance)
+      .Add("relay", relay_ ? relay_->ToString() : "")
       .Add("load", int{load_})
       .Add("candidates", uint64_t{candidates_})
       .Add("sends", int{sends_})
--- a/src/gateway_call_answer.cc
+++ b/src/gateway_call_answer.cc
@@ -67,6 +67,9 @@
     OnExchangeFailed(ExchangeFailure::kMalformed);
     return false;
   }
+  if (relay_) {
+    gateway_.RecordRelayed(*relay_, upstream_.address, true, 0);
+  }
   if (!answer.other_instance) {
     gateway_.RecordLimit(upstream_, answer);
   }
@@ -146,7 +149,7 @@
 void GatewayCall::RecordTimes() {
   constexpr int64_t kUsPerMs = 1'000;
   ObservedTimes& times = gateway_.times();
-  if (connection_->exchanges() == 1) {
+  if (connection_->exchanges() == 1 && !relay_) {
     times.OnConnected(upstream_.domain, connection_->connect_ms() * kUsPerMs);
   }
   if (sends_ > 1 || load_ >= upstream_.slots || status_ >= kFirstErrorStatus) {
--- a/src/gateway_crash_detector.cc
+++ b/src/gateway_crash_detector.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway_relay_server_p.h"
+
 namespace ring {
 namespace {
 
@@ -22,6 +24,7 @@
 // silence.
 constexpr int64_t kSilenceWatchMs = 2'500;
 constexpr size_t kMaxUnanswered = 256;
+constexpr int kRelayEstablished = 200;
 
 }  // namespace
 
@@ -82,12 +85,20 @@
   void OnResponseBody(std::string_view /*bytes*/) override {}
   void OnResponseEnd() override {}
   void OnExchangeFailed(ExchangeFailure failure) override {
-    const bool unreachable = failure == ExchangeFailure::kNotConnected ||
-                             failure == ExchangeFailure::kNoResponse;
+    const int status = connection_->relay_status();
+    const bool relay_failed = status != 0 && status != kRelayEstablished &&
+                              status != kRelayUpstreamUnreachable;
+    const bool unreachable =
+        !relay_failed && (failure == ExchangeFailure::kNotConnected ||
+                          failure == ExchangeFailure::kNoResponse);
     End(unreachable ? Verdict::kRefused : Verdict::kAlive);
   }
 
   ObservedCrash& observation() { return observation_; }
+  /// @returns true if a relay has shown whether the upstream is reachable
+  bool relayed() const {
+    return connection_ && connection_->relay_status() != 0;
+  }
   int64_t age_ms() const { return detector_.loop_.now_ms() - started_ms_; }
 
  private:
@@ -108,11 +119,13 @@
 CrashDetector::CrashDetector(EventLoop& loop,
                              const CallerProtocolI& protocol,
                              Connect connect,
+                             Verify verify,
                              Crashed crashed,
                              Leaving leaving)
     : loop_(loop),
       protocol_(protocol),
       connect_(std::move(connect)),
+      verify_(std::move(verify)),
       crashed_(std::move(crashed)),
       leaving_(std::move(leaving)) {}
 CrashDetector::~CrashDetector() = default;
@@ -198,14 +211,35 @@
       .Add("after_ms", check->age_ms())
       .Add("requests", uint64_t{lost.requests.size()})
       .Add("digests", lost.DigestText());
-  if (verdict != Verdict::kAlive) {
+  if (verdict == Verdict::kReplaced ||
+      (verdict == Verdict::kRefused && check->relayed())) {
     return Report(std::move(lost));
   }
+  if (verdict != Verdict::kAlive) {
+    verified_.push_back(check);
+    return verify_(lost.upstream.address, [this, check](bool reached) {
+      EndVerified(check, reached);
+    });
+  }
   if (unexplained_losses_.size() < kMaxUnexplainedLosses) {
     unexplained_losses_.push_back(std::move(lost));
   }
 }
 
+void CrashDetector::EndVerified(const std::shared_ptr<Check>& check,
+                                bool crashed) {
+  std::erase(verified_, check);
+  if (crashed) {
+    return Report(check->observation());
+  }
+  Event(LogLevel::kInfo, "crash_not_verified")
+      .Add("upstream", check->observation().upstream.instance)
+      .Add("after_ms", check->age_ms());
+  if (unexplained_losses_.size() < kMaxUnexplainedLosses) {
+    unexplained_losses_.push_back(check->observation());
+  }
+}
+
 void CrashDetector::OnUpstreamReported(const UpstreamInstance& upstream) {
   const auto replaced = [&](const ObservedCrash& lost) {
     return lost.upstream.born_ms < upstream.born_ms &&
@@ -256,6 +290,11 @@
       crashes.push_back(check->observation().ToReport());
     }
   }
+  for (const std::shared_ptr<Check>& check : verified_) {
+    if (check->observation().requests.contains(digest)) {
+      crashes.push_back(check->observation().ToReport());
+    }
+  }
   std::sort(crashes.begin(), crashes.end(),
             [](const UpstreamCrash& a, const UpstreamCrash& b) {
               return a.at_ms < b.at_ms;
--- a/src/gateway_crash_detector_p.h
+++ b/src/gateway_crash_detector_p.h
@@ -45,13 +45,20 @@
   using Connect = std::function<std::unique_ptr<HttpClientConnection>(
       const Endpoint& upstream)>;
 
+  /// Finds out whether this entry reaches other upstreams than this one.
+  using Verify = std::function<void(const Endpoint& upstream,
+                                    std::function<void(bool reached)> done)>;
+
   /// @param connect opens the connections of health checks
+  /// @param verify called before an upstream that cannot be reached counts as
+  ///        crashed, because the links of this entry may have failed
   /// @param crashed called for each detected crash
   /// @param leaving called for upstreams whose health check response says that
   ///        they are leaving
   CrashDetector(EventLoop& loop,
                 const CallerProtocolI& protocol,
                 Connect connect,
+                Verify verify,
                 Crashed crashed,
                 Leaving leaving);
   ~CrashDetector();
@@ -102,6 +109,7 @@
   };
   enum class Verdict : uint8_t;
   void End(const std::string& instance, Verdict verdict);
+  void EndVerified(const std::shared_ptr<Check>& check, bool crashed);
   void Report(ObservedCrash crash);
   void CheckSilence(const std::string& instance);
   /// @param lost_ms latest time at which the upstream may still have been
@@ -114,9 +122,12 @@
   EventLoop& loop_;
   const CallerProtocolI& protocol_;
   const Connect connect_;
+  const Verify verify_;
   const Crashed crashed_;
   const Leaving leaving_;
-  std::map<std::string, std::shared_ptr<Check>> checks_;       ///< By instance.
+  std::map<std::string, std::shared_ptr<Check>> checks_;  ///< By instance.
+  /// Checks that found an upstream unreachable, while that is verified.
+  std::vector<std::shared_ptr<Check>> verified_;
   std::map<std::string, Unanswered> unanswered_;               ///< By instance.
   std::unordered_map<std::string, int64_t> last_activity_ms_;  ///< By instance.
   /// Recently lost connections to upstreams whose health check succeeded.
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -85,7 +85,14 @@
       crash_detector_(
           loop,
           protocol,
-          [this](const Endpoint& upstream) { return pool_.Open(upstream); },
+          [this](const Endpoint& upstream) {
+            const auto relay = ChooseRelay();
+            return relay ? pool_.OpenVia(*relay, upstream)
+                         : pool_.Open(upstream);
+          },
+          [this](const Endpoint& upstream, std::function<void(bool)> done) {
+            VerifyLinks(upstream, std::move(done));
+          },
           [this](const ObservedCrash& crash) { OnCrash(crash); },
           [this](const UpstreamInstance& upstream) {
             RecordLeaving(upstream, "health_check", "");
@@ -107,6 +114,9 @@
     return ready.refusal();
   }
   ready_server_ = std::move(*ready);
+  if (Status relay = StartRelay(); !relay) {
+    return relay;
+  }
   AddKeepers(init_.keepers);
   startup_end_ms_ = loop_.now_ms() + kStartupMs;
   loop_.Every(kPruneMs, [this] {
@@ -114,6 +124,7 @@
     suspects_.Expire(loop_.now_ms());
     crash_detector_.Expire();
     limits_.Expire(loop_.now_ms());
+    relays_.Expire(loop_.now_ms());
   });
   loop_.Every(kGaugesMs, [this] {
     SetGauges();
@@ -316,6 +327,14 @@
     return;
   }
   entry_counts_[std::string(TextOf(list->self()))] = list->entries();
+  if (list->relays() != nullptr) {
+    for (const auto* text : *list->relays()) {
+      const auto relay = Endpoint::Parse(TextOf(text));
+      if (relay && relay != init_.relay_listen) {
+        relays_.OnListed(*relay, loop_.now_ms());
+      }
+    }
+  }
   for (const auto* text : *list->addresses()) {
     if (const auto endpoint = Endpoint::Parse(TextOf(text))) {
       hub_->Connect(*endpoint);
@@ -579,7 +598,8 @@
   }
   server_->StopListening();
   server_->CloseIdle();
-  const bool idle = calls_.empty() && server_->connections() == 0;
+  const bool idle = calls_.empty() && server_->connections() == 0 &&
+                    (!relay_server_ || relay_server_->connections() == 0);
   if ((idle || since_ms > init_.grace_ms - kGraceMarginMs) && drained_) {
     Event(LogLevel::kInfo, "drained")
         .Add("requests_left", uint64_t{calls_.size()})
--- a/src/gateway_health_p.h
+++ b/src/gateway_health_p.h
@@ -23,6 +23,9 @@
   bool IsSuspected(const std::string& instance, int64_t now_ms) const;
   /// @returns share of recent requests that failed, percent
   int32_t FailurePercent(const std::string& instance) const;
+  /// Forgets all failures, for example after they turned out to be due to this
+  /// entry.
+  void ForgetFailures() { records_.clear(); }
   void Forget(const std::string& instance) { records_.erase(instance); }
 
  private:
--- a/src/gateway_links.cc
+++ b/src/gateway_links.cc
@@ -1,7 +1,5 @@
 #include "gateway_links_p.h"
 
-#include <algorithm>
-
 namespace ring {
 namespace {
 
@@ -14,20 +12,23 @@
 void UpstreamLinks::OnConnected() {
   state_ = State::kUp;
   failed_.clear();
+  timed_out_ = false;
 }
 
-void UpstreamLinks::OnFailed(const Endpoint& upstream, size_t known) {
+void UpstreamLinks::OnFailed(const Endpoint& upstream, bool timed_out) {
   failed_.insert(upstream);
-  if (state_ == State::kUp &&
-      failed_.size() >= std::min(kFailedToDoubt, known)) {
+  timed_out_ = timed_out_ || timed_out;
+  if (state_ == State::kUp && failed_.size() >= kFailedToDoubt) {
     state_ = State::kDoubtful;
   }
 }
 
-void UpstreamLinks::OnProbed(bool reached) {
+void UpstreamLinks::OnProbed(bool reached, bool timed_out) {
   if (reached) {
-    OnConnected();
-  } else if (state_ == State::kDoubtful) {
+    return OnConnected();
+  }
+  timed_out_ = timed_out_ || timed_out;
+  if (state_ == State::kDoubtful) {
     state_ = State::kLost;
   }
 }
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -17,6 +17,8 @@
 #include "gateway_limits_p.h"
 #include "gateway_links_p.h"
 #include "gateway_pool_p.h"
+#include "gateway_relay_server_p.h"
+#include "gateway_relays_p.h"
 #include "gateway_suspects_p.h"
 #include "persimmonring/gateway.h"
 
@@ -118,7 +120,23 @@
   void RecordLimit(const UpstreamInstance& upstream,
                    const UpstreamResponse& answer);
   /// Called when an attempt to connect to an upstream ended or timed out.
-  void RecordConnect(const Endpoint& upstream, bool established);
+  /// @param timed_out the attempt was not answered at all
+  void RecordConnect(const Endpoint& upstream,
+                     bool established,
+                     bool timed_out = false);
+  /// Called when a connection through a relay was established or failed.
+  /// @param status with which the relay refused; 0: it did not answer
+  void RecordRelayed(const Endpoint& relay,
+                     const Endpoint& upstream,
+                     bool established,
+                     int status);
+  /// @returns the entry through which upstreams are reached while the own links
+  ///          are lost; nullopt: connect directly
+  std::optional<Endpoint> ChooseRelay();
+  /// @returns false while an attempt that was refused may be due to the links
+  ///          of this entry
+  bool links_up() const { return links_.state() == UpstreamLinks::State::kUp; }
+  bool links_hanging() const { return links_.hanging(); }
   void RecordError(const std::string& instance) { health_.OnError(instance); }
   void RecordSuccess(const std::string& instance) {
     health_.OnSuccess(instance);
@@ -161,7 +179,11 @@
   void OnCrash(ObservedCrash crash);
   /// Tries to connect to one upstream of each service, in turn.
   void ProbeLinks();
-  void OnProbed(bool reached);
+  void OnProbed(bool reached, bool timed_out);
+  /// Finds out whether this entry reaches any upstream but this one.
+  void VerifyLinks(const Endpoint& upstream, std::function<void(bool)> done);
+  int AdmitRelayed(const Endpoint& upstream) const;
+  Status StartRelay();
   void LogLinks(UpstreamLinks::State before);
   void ReportCrashes();
   void OnCrashesReported(const ObservedCrash& last,
@@ -204,6 +226,8 @@
   ScopedTimer next_probe_timer_;
   std::vector<ConnectionPool::Connection> probes_;
   size_t probes_open_ = 0;  ///< Probes without a result.
+  RelayTable relays_;
+  std::unique_ptr<RelayServer> relay_server_;
   UpstreamLimits limits_;
   /// Number of entries connected to each keeper, by its address.
   std::map<std::string, int64_t> entry_counts_;
@@ -357,6 +381,7 @@
   int32_t load_ = 0;  ///< Load of the upstream when it was chosen, requests.
   size_t candidates_ = 0;  ///< Number of upstreams to choose from.
   ConnectionPool::Connection connection_;
+  std::optional<Endpoint> relay_;  ///< Entry that relays the connection.
   bool sent_ = false;          ///< The upstream may have received the request.
   bool may_have_run_ = false;  ///< Some upstream may have executed the request.
   int32_t runs_ = 0;  ///< Number of upstreams that may have executed it.
--- a/src/gateway_pool.cc
+++ b/src/gateway_pool.cc
@@ -28,6 +28,11 @@
 }
 
 ConnectionPool::Connection ConnectionPool::Acquire(const Endpoint& endpoint) {
+  Connection idle = TakeIdle(endpoint);
+  return idle ? std::move(idle) : Open(endpoint);
+}
+
+ConnectionPool::Connection ConnectionPool::TakeIdle(const Endpoint& endpoint) {
   const auto found = idle_.find(endpoint.ToString());
   if (found != idle_.end()) {
     std::vector<Idle>& list = found->second;
@@ -43,7 +48,23 @@
       Discard(std::move(idle.connection));
     }
   }
-  return Open(endpoint);
+  return nullptr;
+}
+
+ConnectionPool::Connection ConnectionPool::OpenVia(const Endpoint& relay,
+                                                   const Endpoint& endpoint) {
+  metrics::Count("ring_relayed_connects_total");
+  return HttpClientConnection::ConnectVia(
+      loop_, {.user_timeout_ms = kUserTimeoutMs}, relay, endpoint);
+}
+
+void ConnectionPool::CloseAllIdle() {
+  for (auto& [key, list] : idle_) {
+    for (Idle& idle : list) {
+      Discard(std::move(idle.connection));
+    }
+  }
+  idle_.clear();
 }
 
 ConnectionPool::Connection ConnectionPool::Open(const Endpoint& endpoint) {
--- a/src/gateway_pool_p.h
+++ b/src/gateway_pool_p.h
@@ -29,6 +29,12 @@
   Connection Acquire(const Endpoint& endpoint);
   /// @returns a new connection; null if none can be opened
   Connection Open(const Endpoint& endpoint);
+  /// @returns an idle connection; null: there is none
+  Connection TakeIdle(const Endpoint& endpoint);
+  /// @returns a new connection through a relay; null if none can be opened
+  Connection OpenVia(const Endpoint& relay, const Endpoint& endpoint);
+  /// Closes all idle connections.
+  void CloseAllIdle();
   /// Returns a connection to the pool after its exchange has ended.
   void Release(const Endpoint& endpoint, Connection connection);
   /// Closes the idle connections to an endpoint.
--- a/src/gateway_upstream_table.cc
+++ b/src/gateway_upstream_table.cc
@@ -155,6 +155,13 @@
   return it == rows_.end() ? nullptr : &it->second.upstream;
 }
 
+bool UpstreamTable::KnowsAddress(const Endpoint& address) const {
+  return std::any_of(rows_.begin(), rows_.end(), [&](const auto& item) {
+    return item.second.upstream.address == address &&
+           item.second.upstream.state != UpstreamState::kGone;
+  });
+}
+
 void UpstreamTable::Prune(int64_t now_ms) {
   std::erase_if(leaving_ms_, [now_ms](const auto& item) {
     return item.second + kLeavingRetentionMs < now_ms;
--- a/src/net_http_client.cc
+++ b/src/net_http_client.cc
@@ -40,6 +40,21 @@
       new HttpClientConnection(loop, std::move(connection)));
 }
 
+std::unique_ptr<HttpClientConnection> HttpClientConnection::ConnectVia(
+    EventLoop& loop,
+    const TcpConnection::Init& init,
+    const Endpoint& relay,
+    const Endpoint& endpoint) {
+  auto connection = Connect(loop, init, relay);
+  if (connection) {
+    connection->relaying_ = true;
+    connection->relay_request_ = "CONNECT " + endpoint.ToString() +
+                                 " HTTP/1.1\r\nHost: " + endpoint.ToString() +
+                                 "\r\n\r\n";
+  }
+  return connection;
+}
+
 HttpClientConnection::HttpClientConnection(
     EventLoop& loop,
     std::unique_ptr<TcpConnection> connection)
@@ -63,16 +78,65 @@
   ++exchanges_;
   parser_.Reset();
   if (body.empty()) {
-    connection_->Write(head);
+    Write(head);
     return;
   }
   std::string whole;
   whole.reserve(head.size() + body.size());
   whole.append(head).append(body);
-  connection_->Write(whole);
+  Write(whole);
+}
+
+void HttpClientConnection::Write(std::string_view bytes) {
+  if (relaying_) {
+    held_.append(bytes);
+  } else {
+    connection_->Write(bytes);
+  }
+}
+
+std::string_view HttpClientConnection::ReadRelayAnswer(std::string_view bytes) {
+  constexpr std::string_view kEnd = "\r\n\r\n";
+  constexpr std::string_view kStart = "HTTP/1.1 ";
+  constexpr size_t kStatusDigits = 3;
+  constexpr size_t kMaxAnswerBytes = 1u << 10;
+  constexpr int kEstablished = 200;
+  const size_t before = relay_answer_.size();
+  relay_answer_.append(bytes.substr(0, kMaxAnswerBytes));
+  const size_t end = relay_answer_.find(kEnd);
+  if (end == std::string::npos) {
+    if (relay_answer_.size() >= kMaxAnswerBytes) {
+      OnClosed(CloseKind::kRefused);
+    }
+    return {};
+  }
+  if (relay_answer_.starts_with(kStart)) {
+    relay_status_ =
+        static_cast<int>(ParseNumber(std::string_view(relay_answer_)
+                                         .substr(kStart.size(), kStatusDigits))
+                             .value_or(0));
+  }
+  if (relay_status_ != kEstablished) {
+    OnClosed(CloseKind::kRefused);
+    return {};
+  }
+  relaying_ = false;
+  OnEstablished();
+  if (!connection_->closed()) {
+    connection_->Write(std::exchange(held_, {}));
+  }
+  return bytes.substr(end + kEnd.size() - before);
 }
 
 void HttpClientConnection::OnConnected() {
+  if (relaying_) {
+    connection_->Write(relay_request_);
+  } else {
+    OnEstablished();
+  }
+}
+
+void HttpClientConnection::OnEstablished() {
   connect_ms_ = loop_.now_ms() - start_ms_;
   if (on_connect_) {
     std::exchange(on_connect_, nullptr)(true);
@@ -94,6 +158,12 @@
 }
 
 void HttpClientConnection::OnBytes(std::string_view bytes) {
+  if (relaying_) {
+    bytes = ReadRelayAnswer(bytes);
+    if (bytes.empty()) {
+      return;
+    }
+  }
   if (listener_ == nullptr) {
     // The server sent bytes without a pending request.
     broken_ = true;
@@ -155,7 +225,7 @@
     }
     return;
   }
-  if (kind == CloseKind::kRefused) {
+  if (kind == CloseKind::kRefused || relaying_) {
     return Fail(ExchangeFailure::kNotConnected);
   }
   if (!response_started_ || skipping_) {
--- a/src/registrar_p.h
+++ b/src/registrar_p.h
@@ -2,6 +2,7 @@
 
 #include <mutex>
 #include <optional>
+#include <random>
 
 #include "persimmonring/registrar.h"
 
@@ -52,7 +53,7 @@
                   std::optional<int64_t> born_ms,
                   const StatusCallback& callback);
   void AddKeepers(const std::vector<Endpoint>& keepers);
-  void OnSession(SessionHandle session, const std::string& node);
+  void OnSession(SessionHandle session, const PeerInfo& peer);
   void OnSessionEnd(SessionHandle session);
   void OnKeeperList(const std::string& payload);
   void OnMembers(const LogConfig& config);
@@ -105,9 +106,9 @@
       bool whole);
   Frame ConfigNoticeFrame() const;
   Frame SuspectListFrame() const;
-  Frame KeeperListFrame() const;
+  Frame KeeperListFrame();
   /// @returns the frames that bring a newly connected entry up to date
-  std::vector<Frame> InitialFrames() const;
+  std::vector<Frame> InitialFrames();
   void Send(SessionHandle session, const Frame& frame);
   void SendToEntries(const Frame& frame);
   /// Sends the list of known keepers to entries and keepers.
@@ -124,6 +125,8 @@
   /// When the registration was last proposed or applied, loop time.
   std::map<IncarnationKey, int64_t> registered_ms_;
   std::map<SessionHandle, std::string> entries_;  ///< Session to node name.
+  std::map<SessionHandle, std::string> relays_;   ///< Of connected entries.
+  std::minstd_rand random_{std::random_device{}()};
   std::map<SessionHandle, std::string> keepers_;  ///< Session to node name.
   std::map<std::string, std::string> vms_;  ///< VM to address of its keeper.
   LogConfig members_;
--- a/src/registrar_registrar.cc
+++ b/src/registrar_registrar.cc
@@ -194,7 +194,7 @@
 void Registrar::OnOpened(SessionHandle session, const PeerInfo& peer) {
   impl_->host()->OnOpened(session, peer);
   impl_->loop().Post(
-      [this, session, node = peer.node] { impl_->OnSession(session, node); });
+      [this, session, peer] { impl_->OnSession(session, peer); });
 }
 
 void Registrar::OnFrame(SessionHandle session,
--- a/src/registrar_sessions.cc
+++ b/src/registrar_sessions.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view kKeeperPrefix = "keeper@";
+// Relays that one list names; each list names others.
+constexpr size_t kMaxListedRelays = 12;
 
 bool IsKeeper(const std::string& node) {
   return node.starts_with(kKeeperPrefix);
@@ -98,7 +100,7 @@
   return {.kind = FrameKind::SuspectList, .payload = BufferToString(builder)};
 }
 
-Frame Registrar::Impl::KeeperListFrame() const {
+Frame Registrar::Impl::KeeperListFrame() {
   fb::KeeperListT list;
   for (const Member& member : members_.members) {
     if (const auto endpoint = EndpointOf(member.node)) {
@@ -117,6 +119,12 @@
   }
   list.vm = init_.vm;
   list.entries = static_cast<uint32_t>(entries_.size());
+  std::vector<std::string> relays;
+  for (const auto& [session, address] : relays_) {
+    relays.push_back(address);
+  }
+  std::sample(relays.begin(), relays.end(), std::back_inserter(list.relays),
+              kMaxListedRelays, random_);
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(fb::CreateKeeperList(builder, &list));
   return {.kind = FrameKind::KeeperList, .payload = BufferToString(builder)};
@@ -130,8 +138,8 @@
   }
 }
 
-void Registrar::Impl::OnSession(SessionHandle session,
-                                const std::string& node) {
+void Registrar::Impl::OnSession(SessionHandle session, const PeerInfo& peer) {
+  const std::string& node = peer.node;
   Event(LogLevel::kInfo, "peer_connected").Add("peer", node);
   if (IsKeeper(node)) {
     keepers_[session] = node;
@@ -139,6 +147,9 @@
     return Send(session, KeeperListFrame());
   }
   entries_[session] = node;
+  if (!peer.relay.empty()) {
+    relays_[session] = peer.relay;
+  }
   if (caught_up_) {
     for (const Frame& frame : InitialFrames()) {
       Send(session, frame);
@@ -157,7 +168,7 @@
   }
 }
 
-std::vector<Frame> Registrar::Impl::InitialFrames() const {
+std::vector<Frame> Registrar::Impl::InitialFrames() {
   std::vector<Frame> frames;
   // First, because the entry needs another round trip to fetch the document.
   if (version_ > 0) {
@@ -187,6 +198,7 @@
       sessions->erase(found);
     }
   }
+  relays_.erase(session);
   state_->OnClosed(session);
 }
 
--- a/src/wire_frame.cc
+++ b/src/wire_frame.cc
@@ -182,10 +182,10 @@
 
 std::string EncodeHello(const HelloInfo& hello) {
   flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(
-      fb::CreateHelloDirect(builder, hello.ring.c_str(),
-                            hello.peer.node.c_str(), hello.peer.domain.c_str(),
-                            hello.peer.region.c_str(), hello.peer.incarnation));
+  builder.Finish(fb::CreateHelloDirect(
+      builder, hello.ring.c_str(), hello.peer.node.c_str(),
+      hello.peer.domain.c_str(), hello.peer.region.c_str(),
+      hello.peer.incarnation, hello.peer.relay.c_str()));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
 }
@@ -201,7 +201,8 @@
                   .peer = {.node = Text(table->node()),
                            .domain = Text(table->domain()),
                            .region = Text(table->region()),
-                           .incarnation = table->incarnation()}};
+                           .incarnation = table->incarnation(),
+                           .relay = Text(table->relay())}};
   if (hello.peer.node.empty()) {
     return Corrupt("the Hello payload has no node name");
   }
--- a/src/wire_hub_loop.cc
+++ b/src/wire_hub_loop.cc
@@ -264,7 +264,8 @@
                                     .peer = {.node = init_.node,
                                              .domain = init_.domain,
                                              .region = init_.region,
-                                             .incarnation = incarnation_}})};
+                                             .incarnation = incarnation_,
+                                             .relay = init_.relay}})};
   session->Enqueue({.bytes = EncodeFrame(hello, init_.node, false)},
                    init_.max_queue_bytes);
   Flush(session);
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -45,7 +45,8 @@
     auto hub = Hub::Create({.ring = "test",
                             .node = init.node,
                             .domain = init.domain,
-                            .region = init.region},
+                            .region = init.region,
+                            .relay = init.relay_listen->ToString()},
                            gateway_);
     RING_CHECK(hub.ok());
     hub_ = std::move(*hub);
@@ -250,6 +251,7 @@
     init.regions = {{"domain", "region"}};
     init.listen = listen_;
     init.ready_listen = ready_;
+    init.relay_listen = Endpoint{"127.0.0.1", fakes::FreePort()};
     init.keepers = {wire_};
     init.grace_ms = grace_ms_;
     init.connector = &connector_;
