Answer requests that outlast the grace period of a planned stop

What callers saw: a request that was sent to an upstream before a planned stop and outlasted the grace period ended with its connection, without an answer.

Cause: at the end the process exited while requests were open. And the end came only after drain_notice_ms, also where the grace period is shorter. Class: an end that nobody is told of.

Fix: shortly before the end, open requests are answered: 503 if they cannot have run, else 502; answers that have begun are reset. The notice ends with the grace period.

--- a/src/gateway_call.cc
+++ b/src/gateway_call.cc
@@ -453,16 +453,30 @@
 }
 
 void GatewayCall::OnDeadline() {
+  const RunState run_state = StopAttempt();
+  Refuse({Reason::kDeadlinePassed, run_state,
+          "the request's deadline has passed", 0});
+}
+
+void GatewayCall::OnEntryEnds() {
+  // A complete answer only waits until its turn is recorded.
+  if (ended_ || response_done_) {
+    return;
+  }
+  const RunState run_state = StopAttempt();
+  Refuse({Reason::kDraining, run_state,
+          "this entry ends before the request does", kDrainRetryAfterMs});
+}
+
+RunState GatewayCall::StopAttempt() {
   const bool may_have_run = may_have_run_ || sent_;
   // Nothing is sent before the connection is established.
   const bool only_connecting =
       !may_have_run_ && connection_ && !connection_->connected();
   RecordUnanswered();
   ReleaseConnection(false);
-  Refuse({Reason::kDeadlinePassed,
-          may_have_run && !only_connecting ? RunState::kUnknown
-                                           : RunState::kNotRun,
-          "the request's deadline has passed", 0});
+  return may_have_run && !only_connecting ? RunState::kUnknown
+                                          : RunState::kNotRun;
 }
 
 void GatewayCall::Refuse(const Refusal& refusal) {
--- a/src/gateway_gateway.cc
+++ b/src/gateway_gateway.cc
@@ -593,14 +593,26 @@
 // using the open ones.
 void Gateway::Impl::CheckDrained() {
   const int64_t since_ms = loop_.now_ms() - drain_started_ms_;
-  if (since_ms < init_.drain_notice_ms) {
+  const int64_t end_ms = init_.grace_ms - kGraceMarginMs;
+  if (since_ms < std::min(init_.drain_notice_ms, end_ms)) {
     return;
   }
   server_->StopListening();
   server_->CloseIdle();
   const bool idle = calls_.empty() && server_->connections() == 0 &&
                     (!relay_server_ || relay_server_->connections() == 0);
-  if ((idle || since_ms > init_.grace_ms - kGraceMarginMs) && drained_) {
+  if (!idle && since_ms > end_ms && !std::exchange(ending_, true)) {
+    // Their answers are sent before the next check.
+    std::vector<GatewayCall*> calls;
+    for (const auto& [call, owned] : calls_) {
+      calls.push_back(call);
+    }
+    for (GatewayCall* call : calls) {
+      call->OnEntryEnds();
+    }
+    return;
+  }
+  if ((idle || since_ms > end_ms) && drained_) {
     Event(LogLevel::kInfo, "drained")
         .Add("requests_left", uint64_t{calls_.size()})
         .Add("took_ms", since_ms);
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -249,6 +249,7 @@
   int64_t startup_end_ms_ = 0;
   bool draining_ = false;
   int64_t drain_started_ms_ = 0;
+  bool ending_ = false;  ///< The requests that remain have been ended.
   std::function<void()> drained_;
 };
 
@@ -265,6 +266,9 @@
   void Resume();
   /// Called when the caller has closed its connection.
   void OnCallerGone();
+  /// Called when the process is about to exit. Answers the request if that is
+  /// still possible.
+  void OnEntryEnds();
   /// Called when the caller has received everything written so far.
   void OnCallerDrained();
 
@@ -344,6 +348,9 @@
   void CompleteForwarding();
   void ReleaseConnection(bool reuse);
   void OnDeadline();
+  /// Abandons the current attempt.
+  /// @returns whether the request may have run
+  RunState StopAttempt();
   /// Responds with an error of the entry itself and ends the call.
   void Refuse(const Refusal& refusal);
   void RespondBuffered();
--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -489,5 +489,72 @@
   EXPECT_EQ(Get("/read/1", "Request-Id: r4, Deadline-Ms: 200").status(), 200);
 }
 
+/// Runs an upstream that never answers. Connections are opened before the entry
+/// shuts down.
+class GatewayLastRequestsTest : public GatewayShortGraceTest {
+ protected:
+  void StopEntryAtTheEnd() {
+    std::atomic<bool> drained{false};
+    entry_->Drain([&drained] { drained = true; });
+    WaitFor([&drained] { return drained.load(); });
+    entry_.reset();
+  }
+  static void SendOrder(int fd, const std::string& more = "") {
+    const std::string request =
+        "POST /order/1 HTTP/1.1\r\nHost: h\r\nPersimmonring-Request-Id: r" +
+        std::to_string(fd) + "\r\n" + more + "Content-Length: 1\r\n\r\nx";
+    send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  }
+  void ServeStalled() {
+    Announce("i-1", "tool", upstream_.endpoint());
+    Configure(1, RouteOf("order", "unsafe", "tool"));
+  }
+
+  ScriptedUpstream upstream_{[](const std::string&) {
+    return ScriptedReply{{}, Then::kStall};
+  }};
+};
+
+// Guards against requests that are taken late in the grace period and cut off
+// at its end.
+TEST_F(GatewayLastRequestsTest, TakenLate_AreAnsweredBeforeTheEnd) {
+  constexpr int kCount = 14;
+  constexpr std::chrono::milliseconds kPause{100};
+  ServeStalled();
+  std::vector<int> connections;
+  for (int i = 0; i < kCount; ++i) {
+    connections.push_back(Connect());
+  }
+  std::thread callers([&] {
+    for (const int fd : connections) {
+      SendOrder(fd, "Persimmonring-Deadline-Ms: 250\r\n");
+      std::this_thread::sleep_for(kPause);
+    }
+  });
+  StopEntryAtTheEnd();
+  callers.join();
+  // The last ones are sent after the end.
+  constexpr int kTaken = 10;
+  for (int i = 0; i < kCount; ++i) {
+    const CallerResponse answer = ReadResponse(connections[i]);
+    if (i < kTaken) {
+      EXPECT_TRUE(answer.status() == 503 || answer.status() == 504) << i;
+    }
+    close(connections[i]);
+  }
+}
+
+// Guards against a request that outlasts the grace period and ends without an
+// answer.
+TEST_F(GatewayLastRequestsTest, SentBeforeTheStop_IsAnsweredAtTheEnd) {
+  ServeStalled();
+  const int fd = Connect();
+  SendOrder(fd);
+  WaitFor([this] { return !upstream_.requests().empty(); });
+  StopEntryAtTheEnd();
+  EXPECT_EQ(ReadResponse(fd).status(), 502);
+  close(fd);
+}
+
 }  // namespace
 }  // namespace ring
