--- a/tests/gateway_call_test.cc
+++ b/tests/gateway_call_test.cc
@@ -522,6 +522,7 @@
   constexpr std::chrono::milliseconds kPause{100};
   ServeStalled();
   std::vector<int> connections;
+  connections.reserve(kCount);
   for (int i = 0; i < kCount; ++i) {
     connections.push_back(Connect());
   }
--- a/tests/gateway_limit_test.cc
+++ b/tests/gateway_limit_test.cc
@@ -54,6 +54,7 @@
     std::mutex mutex;
     const size_t before = upstreams_[0]->requests().size();
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<size_t>(callers));
     for (int i = 0; i < callers; ++i) {
       threads.emplace_back([&] {
         const int64_t end_ms = SystemClock().NowMs() + kSpanMs;
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -16,14 +16,14 @@
     }
     return PlatformProtocol().DecodeUpstreamResponse(head);
   };
-  const std::vector<std::pair<std::string, std::optional<int64_t>>> kCases = {
+  const std::vector<std::pair<std::string, std::optional<int64_t>>> cases = {
       {"5.2", 5'200}, {"12", 12'000}, {"0", 0},
       {".5", 500},    {"0.0004", 0},  {"99999999999999999999", 1'000'000'000},
       {"", {}},       {"-1", {}},     {"-0", {}},
       {"nan", {}},    {"inf", {}},    {"1e3", {}},
       {"5.2 x", {}},  {"0x10", {}},   {"five", {}},
   };
-  for (const auto& [text, limit] : kCases) {
+  for (const auto& [text, limit] : cases) {
     const UpstreamResponse answer = decode({text});
     EXPECT_TRUE(answer.names_limit) << text;
     EXPECT_EQ(answer.limit, limit) << text;
--- a/tests/state_machine_test.cc
+++ b/tests/state_machine_test.cc
@@ -520,7 +520,7 @@
 // Guards against a new leader that grants the whole limit once more.
 TEST_F(PreparedTurnTest, LeaderChanges_GrantsGoOnBeingCounted) {
   now_ms_ = 100'000;
-  const auto encode = [this](const std::string& turn, uint32_t age_ms) {
+  const auto encode = [](const std::string& turn, uint32_t age_ms) {
     fb::BeginTurnT begin = BeginOf(turn, "", 1'000, 100);
     begin.wait_ms = 4'000;
     begin.offers.emplace_back(1u, uint16_t{0}, uint8_t{8}, false);
