Bound how long an upstream that lowers its limit gets no request

Requests counted ahead were stretched by the ratio of the old and the new limit, up to 10 s: an upstream that went from 10 to 1 a second got nothing for that time, so callers were refused what it would have taken, and nothing showed that the limit had ended. Now at most 2 s. RequestPacerTest.LimitIsLowered_RequestsGoOnPassing got 10 s before. Also keeps the experiment shared_limits=false from dropping the limits that an entry has observed; nothing changes while it is on.

--- a/src/gateway_call_limit.cc
+++ b/src/gateway_call_limit.cc
@@ -55,7 +55,10 @@
 void GatewayCall::OnPlaced(const fb::StateResultT& result, int64_t asked_ms) {
   placed_ = result.placed;
   placed_load_ = result.placed_load;
-  gateway_.RecordPlacement(result, service_, asked_ms);
+  // Without reports of the entries, the leader knows no limits.
+  if (gateway_.init().mechanisms.shared_limits) {
+    gateway_.RecordPlacement(result, service_, asked_ms);
+  }
   if (result.placed_wait_ms <= 0) {
     return Send();
   }
--- a/src/policy_pacer.cc
+++ b/src/policy_pacer.cc
@@ -9,8 +9,9 @@
 constexpr int64_t kMinLimit = 250;
 // Requests of this time may pass at once.
 constexpr int64_t kBurstUs = 500'000;
-// Longest time for which requests are counted ahead.
-constexpr int64_t kMaxAheadUs = 10'000'000;
+// Requests counted ahead take longer when the limit is lowered, but at most
+// this: meanwhile nothing passes that could show that the limit has ended.
+constexpr int64_t kMaxAheadUs = 2'000'000;
 
 }  // namespace
 
--- a/tests/policy_pacer_test.cc
+++ b/tests/policy_pacer_test.cc
@@ -66,6 +66,18 @@
   EXPECT_LE(SendFor(pacer, 105'000, 1), 4);
 }
 
+// Guards against an upstream that gets nothing for long after it has lowered its
+// limit.
+TEST_F(RequestPacerTest, LimitIsLowered_RequestsGoOnPassing) {
+  RequestPacer pacer;
+  pacer.SetLimit(10'000, 1, 0);
+  for (int i = 0; i < 20; ++i) {
+    pacer.Take(0);
+  }
+  pacer.SetLimit(1'000, 1, 0);
+  EXPECT_LE(pacer.WaitMs(0), 2'000);
+}
+
 TEST_F(RequestPacerTest, LimitThatChangesWithEachRequest_KeepsItsMean) {
   RequestPacer pacer;
   int sent = 0;
