--- a/tests/policy_pacer_test.cc
+++ b/tests/policy_pacer_test.cc
@@ -66,8 +66,8 @@
   EXPECT_LE(SendFor(pacer, 105'000, 1), 4);
 }
 
-// Guards against an upstream that gets nothing for long after it has lowered its
-// limit.
+// Guards against an upstream that gets nothing for long after it has lowered
+// its limit.
 TEST_F(RequestPacerTest, LimitIsLowered_RequestsGoOnPassing) {
   RequestPacer pacer;
   pacer.SetLimit(10'000, 1, 0);
