Count no requests against a limit that has ended

While an upstream that had once named a limit had none, the requests placed there went on being counted at the interval of the old limit. If it named the same limit again, it got nothing until all of them would have passed: minutes after a while of normal load, so callers were refused what it took. Class: state of a mode that outlives it. The leader now drops what it counted when a limit ends, and so does an entry with its share.

Before: LoadBalancerLimitTest.SameLimitNamedAgain_IsServedAtOnce placed 0 turns in 4 s where the limit takes 20.

--- a/src/gateway_limits.cc
+++ b/src/gateway_limits.cc
@@ -66,6 +66,7 @@
                                     int64_t now_ms) {
   const std::optional<int64_t> limit = LimitOf(upstream);
   if (!limit) {
+    shares_.erase(upstream.instance);
     return 0;
   }
   const auto [share, added] = shares_.try_emplace(upstream.instance);
--- a/src/state_load.cc
+++ b/src/state_load.cc
@@ -130,7 +130,10 @@
 
 void LoadBalancer::TakeLimit(uint32_t upstream, Level level, int64_t now_ms) {
   const auto found = limits_.find(upstream);
-  for (size_t i = level; found != limits_.end() && i < kLevels; ++i) {
+  if (found == limits_.end() || !found->second.observed.limit) {
+    return;
+  }
+  for (size_t i = level; i < kLevels; ++i) {
     found->second.pacers[i].Take(now_ms);
   }
 }
@@ -149,6 +152,9 @@
   if (is_older) {
     return;
   }
+  if (!limit.limit) {
+    known.pacers = {};
+  }
   known.observed = {limit.upstream, limit.limit, at_ms};
   if (limit.limit) {
     for (RequestPacer& pacer : known.pacers) {
--- a/tests/state_load_test.cc
+++ b/tests/state_load_test.cc
@@ -167,6 +167,14 @@
   EXPECT_EQ(PlaceFor(1'000, OffersOf({0, 50'000}))[1], 50);
 }
 
+// Guards against requests without a limit that count against the next one.
+TEST_F(LoadBalancerLimitTest, SameLimitNamedAgain_IsServedAtOnce) {
+  balancer_.SetLimit({1, std::nullopt, kStartMs + 100}, kStartMs + 100);
+  PlaceFor(10'000, OffersOf({0}));
+  balancer_.SetLimit({1, 5'000, now_ms_}, now_ms_);
+  EXPECT_GE(PlaceFor(4'000, OffersOf({0}), {200, 0})[1], 20);
+}
+
 TEST_F(LoadBalancerLimitTest, OldObservation_IsNotTakenOver) {
   balancer_.SetLimit({2, 1'000, kStartMs}, kStartMs + kMaxLimitAgeMs + 1);
   EXPECT_EQ(balancer_.limit(2), std::nullopt);
